--- /dev/null
+++ b/rig/rig.cpp
@@ -0,0 +1,1 @@
+#include "rig_type.h"
--- /dev/null
+++ b/rig/rig_type.h
@@ -0,0 +1,2 @@
+// Types shared by the stand-ins.
+#pragma once
--- /dev/null
+++ b/src/core/clock_type.h
@@ -0,0 +1,38 @@
+// Time of the program: one point-in-time type with millisecond resolution.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace agatepost {
+
+// A point on the monotonic clock, in milliseconds since an arbitrary start. Differences are plain
+// millisecond counts; variables that hold them end in _ms.
+struct time_ms {
+    std::int64_t value = 0;
+
+    friend constexpr auto operator==(time_ms a, time_ms b) -> bool { return a.value == b.value; }
+    friend constexpr auto operator!=(time_ms a, time_ms b) -> bool { return a.value != b.value; }
+    friend constexpr auto operator<(time_ms a, time_ms b) -> bool { return a.value < b.value; }
+    friend constexpr auto operator<=(time_ms a, time_ms b) -> bool { return a.value <= b.value; }
+    friend constexpr auto operator>(time_ms a, time_ms b) -> bool { return a.value > b.value; }
+    friend constexpr auto operator>=(time_ms a, time_ms b) -> bool { return a.value >= b.value; }
+    friend constexpr auto operator-(time_ms a, time_ms b) -> std::int64_t { return a.value - b.value; }
+    friend constexpr auto operator+(time_ms a, std::int64_t ms) -> time_ms { return {a.value + ms}; }
+};
+
+// Returns the current point on the monotonic clock.
+inline auto now() -> time_ms {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    return {duration_cast<milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count()};
+}
+
+// Returns wall-clock milliseconds since 1970, for values that outlive a process (incarnations, quarantine).
+inline auto wall_clock_ms() -> std::int64_t {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    return duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace agatepost
--- /dev/null
+++ b/src/host/host_base.h
@@ -0,0 +1,29 @@
+// The running host: what its threads share.
+#pragma once
+
+#include <atomic>
+
+#include "config/snapshot_type.h"
+#include "core/published_base.h"
+#include "core/settings_func.h"
+#include "flow/placement_base.h"
+#include "net/link_base.h"
+#include "peer/host_view_type.h"
+
+namespace agatepost {
+
+// Shared state of a host. Modules read the published values; each has one writer, named behind it.
+struct host_state {
+    explicit host_state(settings values) : options(std::move(values)) {}
+
+    const settings options;
+    const link_plugin* link = nullptr;
+    const placement_plugin* placement = nullptr;
+    published<snapshot> config;                   // written by the configuration feed
+    published<host_view> view;                    // written by membership
+    std::atomic<bool> is_stopping{false};         // a graceful stop was asked for
+    std::atomic<bool> is_done{false};             // all threads must end
+    std::atomic<std::int64_t> last_packet_ms{0};  // when a packet was last received
+};
+
+}  // namespace agatepost
--- /dev/null
+++ b/src/net/link_base.h
@@ -0,0 +1,58 @@
+// Link plug-ins: how packets come in from the fabric and other hosts, and how they leave.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "core/error_type.h"
+#include "core/plugin_base.h"
+#include "net/address_type.h"
+#include "net/geneve_func.h"
+
+namespace agatepost {
+
+// Where and how a link sends and receives.
+struct link_options {
+    endpoint local;
+    endpoint fabric;
+    std::uint32_t vni = 0;
+};
+
+// One received packet. The inner packet has geneve_headroom free bytes before it.
+struct received_packet {
+    std::uint8_t* inner = nullptr;
+    std::size_t size = 0;
+    relay_reason relay = relay_reason::none;
+    endpoint sender;  // outer source address
+};
+
+// One packet to send. `inner` must stay valid until send_all returns and have geneve_headroom before it.
+struct outgoing_packet {
+    std::uint8_t* inner = nullptr;
+    std::size_t size = 0;
+    relay_reason relay = relay_reason::none;
+    endpoint host;  // destination of a relayed packet; unused when relay is none
+};
+
+// State of an open link; each plug-in derives its own.
+struct link_port {
+    link_port() = default;
+    link_port(const link_port&) = delete;
+    auto operator=(const link_port&) -> link_port& = delete;
+    virtual ~link_port() = default;
+};
+
+// A link plug-in. Each worker thread opens a port of its own.
+struct link_plugin {
+    std::string_view name;
+    auto(*open)(const link_options& options) -> result<std::unique_ptr<link_port>>;
+    // Waits up to `timeout_ms` for packets and appends those received. Their buffers stay valid until the
+    // next call. Malformed packets are counted and left out.
+    void (*receive_some)(link_port& port, int timeout_ms, std::vector<received_packet>& packets);
+    void (*send_all)(link_port& port, const std::vector<outgoing_packet>& packets);
+};
+
+}  // namespace agatepost
--- /dev/null
+++ b/src/peer/host_view_func.h
@@ -0,0 +1,14 @@
+// Rendezvous hashing over the zone's live hosts.
+#pragma once
+
+#include "peer/host_view_type.h"
+
+namespace agatepost {
+
+// Returns the host at `rank` (0 first) for a key, or nullptr if there are not that many hosts.
+auto host_of_rank(const host_view& view, std::uint64_t key_hash, std::size_t rank) -> const host_record*;
+
+// Returns whether a host of this data address is known. Relayed packets of others are dropped.
+auto is_known_data_address(const host_view& view, const endpoint& address) -> bool;
+
+}  // namespace agatepost
--- /dev/null
+++ b/src/table/log_events.h
@@ -0,0 +1,10 @@
+// Every log event: LOG_EVENT(number, name, severity, meaning). Included several times with different
+// definitions of LOG_EVENT. Numbers are never reused; docs/log-events.md has an entry for each.
+// 100-199 host, 200-299 configuration and store, 300-399 peers, 400-499 flows and targets, 500-599 operators.
+LOG_EVENT(100, host_started, info, "the host is ready to forward packets")
+LOG_EVENT(101, host_stopping, info, "the host was asked to stop and starts its graceful stop")
+LOG_EVENT(102, host_stopped, info, "the host has stopped")
+LOG_EVENT(103, host_start_failed, error, "the host could not start")
+LOG_EVENT(200, configuration_applied, info, "a newer configuration is in force")
+LOG_EVENT(201, configuration_rejected, error, "a configuration document was not applied")
+LOG_EVENT(202, configuration_missing, warning, "no configuration from the store or a peer yet; new flows are refused")
