--- /dev/null
+++ b/rig/checker.cpp
@@ -0,0 +1,184 @@
+#include <absl/container/flat_hash_map.h>
+
+#include "checker_func.h"
+
+namespace agatepost::rig {
+
+namespace {
+
+constexpr std::size_t example_limit = 10;
+
+// What the history says about one flow.
+struct flow_facts {
+    bool is_established = false;
+    bool is_refused = false;
+    bool is_ended_by_fault = false;  // reset or timed out
+    bool is_excused = false;
+    bool has_moved = false;
+    std::uint32_t target = 0;  // of the first request that was run, plus 1
+};
+
+// What the history says about one request.
+struct request_facts {
+    bool is_sent = false;
+    bool is_refused = false;
+    bool is_datagram = false;
+    bool has_wrong_bytes = false;
+    bool is_complete = false;
+    std::uint16_t service = 0;
+    std::uint32_t expected_bytes = 0;
+    std::uint64_t answer_bytes = 0;
+    std::uint64_t flow = 0;
+    std::uint32_t runs = 0;
+    bool at_other_service = false;
+};
+
+struct fact_tables {
+    absl::flat_hash_map<std::uint64_t, flow_facts> flows;
+    absl::flat_hash_map<std::uint64_t, request_facts> requests;
+};
+
+auto note_example(findings& found, const char* what, std::uint64_t flow, std::uint64_t request) -> void {
+    if (found.examples.size() < example_limit) {
+        found.examples.push_back(std::string(what) + " flow " + std::to_string(flow) + " request " +
+                                 std::to_string(request));
+    }
+}
+
+// Collects who sent what; the second pass can then match runs and answers in any order.
+auto collect_sent(const history& events, fact_tables& facts) -> void {
+    for (const auto& event : events) {
+        if (event.kind == event_kind::request_sent) {
+            auto& request = facts.requests[event.request];
+            request.is_sent = true;
+            request.is_datagram = event.is_datagram;
+            request.service = event.service;
+            request.expected_bytes = event.bytes;
+            request.flow = event.flow;
+        }
+    }
+}
+
+auto take_run(const history_event& event, fact_tables& facts) -> void {
+    auto& request = facts.requests[event.request];
+    ++request.runs;
+    request.has_wrong_bytes = request.has_wrong_bytes || !event.is_correct;
+    request.at_other_service =
+        request.at_other_service || !request.is_sent || request.service != event.service;
+    if (request.is_sent) {
+        auto& flow = facts.flows[request.flow];
+        flow.has_moved = flow.has_moved || (flow.target != 0 && flow.target != event.target + 1U);
+        flow.target = flow.target == 0 ? event.target + 1U : flow.target;
+    }
+}
+
+auto take_event(const history_event& event, fact_tables& facts, findings& found) -> void {
+    switch (event.kind) {
+        case event_kind::flow_established:
+            facts.flows[event.flow].is_established = true;
+            break;
+        case event_kind::flow_refused:
+            if (event.request != 0) {
+                facts.requests[event.request].is_refused = true;
+                ++found.refused;
+            } else {
+                facts.flows[event.flow].is_refused = true;
+            }
+            break;
+        case event_kind::flow_unopened:
+            ++found.unopened;
+            break;
+        case event_kind::flow_reset:
+        case event_kind::flow_timed_out:
+            facts.flows[event.flow].is_ended_by_fault = true;
+            break;
+        case event_kind::flow_excused:
+            facts.flows[event.flow].is_excused = true;
+            break;
+        case event_kind::request_run:
+            take_run(event, facts);
+            break;
+        case event_kind::answer_bytes: {
+            auto& request = facts.requests[event.request];
+            request.answer_bytes += event.bytes;
+            request.has_wrong_bytes = request.has_wrong_bytes || !event.is_correct;
+            break;
+        }
+        case event_kind::answer_complete:
+            facts.requests[event.request].is_complete = true;
+            break;
+        case event_kind::answer_foreign:
+            ++found.misdelivered;
+            note_example(found, "foreign answer:", event.flow, event.request);
+            break;
+        case event_kind::flow_closed:
+        case event_kind::request_sent:
+        case event_kind::request_abandoned:
+            break;
+    }
+}
+
+auto judge_flows(const fact_tables& facts, findings& found) -> void {
+    for (const auto& [id, flow] : facts.flows) {
+        found.flows += flow.is_established || flow.is_refused ? 1 : 0;
+        found.refused += flow.is_refused ? 1 : 0;
+        if (!flow.is_excused && ((flow.is_established && flow.is_ended_by_fault) || flow.has_moved)) {
+            ++found.broken;
+            note_example(found, flow.has_moved ? "flow changed target:" : "broken:", id, 0);
+        }
+    }
+}
+
+auto judge_request(std::uint64_t id, const request_facts& request, const flow_facts& flow, findings& found)
+    -> void {
+    found.requests += request.is_sent ? 1 : 0;
+    if (request.at_other_service) {
+        ++found.misdelivered;
+        note_example(found, "at another service:", request.flow, id);
+    }
+    if (request.runs > 1) {
+        ++found.doubled;
+        note_example(found, "run more than once:", request.flow, id);
+    }
+    const auto is_refused = flow.is_refused || request.is_refused;
+    if (is_refused && request.runs > 0) {
+        ++found.false_refusals;
+        note_example(found, "refused as not run, but run:", request.flow, id);
+    }
+    const auto is_short = request.is_complete && request.answer_bytes != request.expected_bytes;
+    // A partial answer of a flow that broke is reported as broken.
+    const auto is_cut_off = !request.is_complete && request.answer_bytes > 0 && !flow.is_ended_by_fault;
+    if (request.has_wrong_bytes || is_short || (is_cut_off && !flow.is_excused)) {
+        ++found.cut;
+        note_example(found, "cut or wrong bytes:", request.flow, id);
+        return;
+    }
+    if (request.is_sent && !request.is_complete && !is_refused && !flow.is_ended_by_fault &&
+        !flow.is_excused) {
+        if (request.is_datagram) {
+            ++found.udp_unanswered;
+        } else {
+            ++found.lost;
+            note_example(found, "lost:", request.flow, id);
+        }
+    }
+}
+
+}  // namespace
+
+auto check(const history& events) -> findings {
+    auto facts = fact_tables{};
+    auto found = findings{};
+    collect_sent(events, facts);
+    for (const auto& event : events) {
+        take_event(event, facts, found);
+    }
+    judge_flows(facts, found);
+    for (const auto& [id, request] : facts.requests) {
+        const auto flow = facts.flows.find(request.flow);
+        judge_request(id, request, flow == facts.flows.end() ? flow_facts{} : flow->second, found);
+    }
+    return found;
+}
+
+}  // namespace agatepost::rig
--- /dev/null
+++ b/rig/clients_base.h
@@ -0,0 +1,118 @@
+// The clients: they open flows to services, send requests once, check answers and record what happened.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <vector>
+
+#include "frame_base.h"
+#include "world_base.h"
+
+namespace agatepost::rig {
+
+// A request whose answer has not been received whole.
+struct pending_request {
+    std::uint64_t id = 0;
+    bool is_complete = false;
+};
+
+// One flow of a client.
+struct client_flow {
+    std::uint64_t number = 0;
+    std::uint16_t service = 0;
+    std::string zone;
+    endpoint local;
+    tcp_connection tcp;  // unused for UDP
+    frame_reader reader;
+    frame_header first;  // sent when the flow is established
+    std::vector<pending_request> pending;
+    bool is_feed = false;
+    bool is_closing = false;  // the client is done with it; its end is recorded
+    bool is_ended = false;    // no more packets; kept a while to acknowledge repeated FINs
+    std::int64_t opened_ms = 0;
+    std::int64_t timer_ms = no_deadline;
+    int datagrams_left = 0;  // UDP: requests still to send, one after the other
+};
+
+// How to open a flow.
+struct flow_request {
+    std::uint16_t service = 0;
+    std::string zone;
+    bool timestamps = true;
+    std::uint32_t work_ms = 0;
+    std::uint32_t answer_size = 0;
+    int datagrams = 1;  // UDP only
+};
+
+// Counts that the clients keep while they run.
+struct client_counts {
+    std::uint64_t open_requests = 0;  // flows of request services that have not ended
+    std::uint64_t open_feeds = 0;     // subscribed feeds
+    std::uint64_t opening_feeds = 0;  // SYN sent, not subscribed yet
+    std::uint64_t completed = 0;      // answers received whole
+    std::uint64_t syn_repeats = 0;
+};
+
+class clients {
+public:
+    explicit clients(world& shared) : world_(shared) {}
+
+    // Opens a flow that sends one request, or subscribes to a feed.
+    auto open(const flow_request& wanted) -> void;
+
+    // Takes a packet from the fabric whose destination is a client. Returns false if it is none.
+    auto receive(const fabric_packet& packet) -> bool;
+
+    // Sends a keepalive on a random feed.
+    auto keepalive_random_feed() -> void;
+
+    // Sends a last request on every open feed, at most `limit` a call. Returns whether more are left. Proves
+    // that each feed still reaches its target.
+    auto verify_feeds(std::size_t limit) -> bool;
+    // Whether verified feeds still wait for their answers.
+    auto is_verifying() const -> bool { return unverified_ > 0; }
+
+    // Returns the number of the flow at this address while its client uses it; 0 otherwise.
+    auto flow_number(const endpoint& local) const -> std::uint64_t;
+
+    // Returns the zone of a client's address.
+    auto zone_of(const ip_address& address) const -> std::string;
+
+    auto counts() const -> const client_counts& { return counts_; }
+
+    std::int64_t time_limit_ms = 10000;
+    // Called with the flow that was refused or gave up; a scenario may retry with a new request.
+    std::function<void(const client_flow&)> on_failed_open;
+
+private:
+    auto next_endpoint(const std::string& zone) -> endpoint;
+    auto receive_tcp(client_flow& flow, const fabric_packet& packet) -> void;
+    auto receive_udp(client_flow& flow, const fabric_packet& packet) -> void;
+    auto receive_icmp(const fabric_packet& packet) -> void;
+    auto after_call(client_flow& flow, tcp_output& out) -> void;
+    auto take_answer(client_flow& flow, const frame_header& header, tcp_output& out) -> void;
+    auto take_body(client_flow& flow, const frame_header& header, std::size_t bytes, bool is_correct) -> void;
+    auto send_frame(client_flow& flow, const frame_header& header, tcp_output& out) -> void;
+    auto send_datagram(client_flow& flow) -> void;
+    auto close(client_flow& flow, tcp_output& out) -> void;
+    auto end(client_flow& flow, event_kind kind) -> void;
+    auto give_up(client_flow& flow) -> void;
+    auto arm(client_flow& flow) -> void;
+    auto set_time_limit(const client_flow& flow) -> void;
+    auto note(const client_flow& flow, event_kind kind, std::uint64_t request = 0, std::uint32_t bytes = 0,
+              bool is_correct = true) -> void;
+    auto is_datagram(const client_flow& flow) const -> bool;
+    auto find(const endpoint& local) -> client_flow*;
+
+    world& world_;
+    absl::flat_hash_map<endpoint, std::unique_ptr<client_flow>> flows_;
+    std::vector<endpoint> feeds_;  // subscribed feeds; ended ones are removed when met
+    std::uint64_t next_flow_ = 1;
+    std::uint64_t next_request_ = 1;
+    std::size_t next_verified_ = 0;
+    std::size_t unverified_ = 0;
+    client_counts counts_;
+};
+
+}  // namespace agatepost::rig
--- a/rig/rig.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "rig_type.h"
--- a/rig/rig_type.h
+++ /dev/null
@@ -1,2 +0,0 @@
-// Types shared by the stand-ins.
-#pragma once
--- /dev/null
+++ b/rig/run_base.h
@@ -0,0 +1,154 @@
+// One run: hosts as processes, the fabric, clients and targets, a scenario's timed actions and the measures.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "checker_func.h"
+#include "clients_base.h"
+#include "host_process_base.h"
+#include "load_endpoint_base.h"
+#include "measure_base.h"
+#include "targets_base.h"
+#include "world_base.h"
+
+namespace agatepost::rig {
+
+struct scenario;
+
+// What the command line asks for.
+struct run_options {
+    const scenario* plan = nullptr;
+    const mix* workload = nullptr;
+    std::uint64_t seed = 1;
+    std::string placement = "carried";
+    std::string binary = "build/agatepost";
+    std::optional<double> duration_s;    // of the measured part
+    std::optional<int> feeds;            // open feeds in all zones
+    double rate = 1;                     // factor on the scenario's request rates
+    int hosts = 5;                       // in each zone
+    std::int64_t list_lag_ms = 500;      // until the fabric's list notices a host's death or stop
+    std::int64_t client_latency_ms = 3;  // one way
+    fabric_faults faults;
+    bool is_json_only = false;
+    bool keeps_logs = false;
+};
+
+// Requests that arrive at random, at a mean rate.
+struct traffic {
+    std::uint16_t service = 0;
+    std::string zone;
+    double per_second = 0;
+    std::uint32_t work_ms = 0;
+    std::uint32_t answer_size = 0;
+    double without_timestamps = 0;  // share of the flows
+    int datagrams = 1;              // UDP: requests of one flow
+};
+
+// A host process and its addresses.
+struct run_host {
+    std::string name;
+    std::string zone;
+    endpoint data;
+    endpoint peer;
+    endpoint admin;
+    std::unique_ptr<child_process> process = std::make_unique<child_process>();
+    bool is_forwarding = false;  // a probe came back since the last start
+    bool is_wanted = true;       // the scenario has it running
+};
+
+// Everything that the final report needs.
+struct run_result {
+    findings found;
+    balance measured;
+    balance ideal;
+    std::optional<double> control_bytes_per_s;
+    std::optional<double> recovery_s;
+    std::uint64_t packets = 0;
+    std::uint64_t stray_packets = 0;    // from hosts, to nobody's address
+    std::uint64_t malformed = 0;        // from hosts, with wrong headers or checksums
+    std::int64_t longest_step_ms = 0;   // of the event loop; tells whether the rig itself kept up
+    std::vector<std::string> failures;  // what kept the run from going as planned
+};
+
+class rig_run {
+public:
+    explicit rig_run(run_options wanted);
+    rig_run(const rig_run&) = delete;
+    auto operator=(const rig_run&) -> rig_run& = delete;
+    ~rig_run();
+
+    // Runs the scenario to its end. Fails if the hosts cannot be started.
+    auto run() -> result<run_result>;
+
+    // For scenarios. Times count from the start of the measured part.
+    auto at(double seconds, std::function<void()> action) -> void;
+    auto every(double from_s, double interval_s, std::function<void()> action) -> void;
+    auto duration_s() const -> double;
+    // Marks the moment from which the time to recover counts.
+    auto note_fault() -> void;
+    auto kill_host(std::size_t i) -> void;
+    auto stop_host(std::size_t i) -> void;   // SIGTERM: graceful
+    auto pause_host(std::size_t i) -> void;  // SIGSTOP
+    auto resume_host(std::size_t i) -> void;
+    auto start_host(std::size_t i) -> void;  // listed once it forwards
+    // Calls `then` once the host's process has ended.
+    auto when_ended(std::size_t i, std::function<void()> then) -> void;
+    // Writes the configuration that hosts started from now on read. Running hosts see it only with a store.
+    auto write_configuration() -> void;
+    // Takes a target out of the configuration's ready targets.
+    auto drain_target(std::size_t i) -> void;
+    // Ends the run as failed.
+    auto fail(std::string reason) -> void;
+
+    const run_options options;
+    world shared;
+    std::vector<mix_target> specs;
+    targets servers;
+    clients callers;
+    std::vector<run_host> hosts;
+    std::vector<traffic> loads;
+    double feeds_without_timestamps = 0;
+    double pushes_per_s = 500;
+    double keepalives_per_s = 300;
+
+private:
+    auto prepare() -> result<void>;
+    auto find_addresses() -> result<endpoint>;
+    auto deliver(const fabric_packet& packet) -> void;
+    auto probe_hosts() -> void;
+    auto step() -> void;
+    auto step_until(std::int64_t limit_ms, const std::function<bool()>& is_done) -> bool;
+    auto launch(std::size_t i) -> result<void>;
+    auto list_when_forwarding(std::size_t i) -> void;
+    auto set_listed(std::size_t i, bool is_listed) -> void;
+    auto start_hosts() -> result<void>;
+    auto start_traffic() -> void;
+    auto tick(std::int64_t last_ms) -> void;
+    auto finish_flows() -> void;
+    auto open_feeds() -> void;
+    auto arrive(traffic& load, double elapsed_s) -> void;
+    auto control_bytes() const -> std::optional<double>;
+    auto check_hosts() -> void;
+    auto log_path(const run_host& host) const -> std::string;
+
+    load_endpoint loads_endpoint_;
+    std::string directory_;
+    bool has_traffic_ = false;
+    std::vector<std::pair<double, std::function<void()>>> planned_;  // actions added before the measured part
+    std::int64_t start_ms_ = 0;                                      // of the measured part
+    std::int64_t end_ms_ = 0;
+    std::optional<std::int64_t> fault_ms_;
+    balance_sampler sampler_;
+    std::uint64_t stray_ = 0;
+    std::int64_t longest_step_ms_ = 0;
+    std::vector<std::string> failures_;
+};
+
+// Asks all runs of this process to end; called by the signal handler.
+auto request_interrupt() -> void;
+
+}  // namespace agatepost::rig
