--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,19 +1,20 @@
-// Benchmarks of the data path.
+// Benchmarks. Without arguments: all micro-benchmarks, then forwarding through a host against a bare relay.
+// Flags of the benchmark library narrow the former; --relay-only runs the latter alone.
 
 #include <benchmark/benchmark.h>
 
-#include "flow/hash_func.h"
+#include <cstring>
 
-namespace {
+#include "relay_bench_func.h"
 
-auto bench_flow_id(benchmark::State& state) -> void {
-    const auto key = agatepost::flow_key{};
-    for (auto _ : state) {
-        benchmark::DoNotOptimize(agatepost::id_of(key));
+auto main(int argc, char** argv) -> int {
+    const auto is_relay_only = argc == 2 && std::strcmp(argv[1], "--relay-only") == 0;
+    if (!is_relay_only) {
+        benchmark::Initialize(&argc, argv);
+        if (benchmark::ReportUnrecognizedArguments(argc, argv)) {
+            return 2;
+        }
+        benchmark::RunSpecifiedBenchmarks();
     }
+    return agatepost::bench::compare_with_relay();
 }
-BENCHMARK(bench_flow_id);
-
-}  // namespace
-
-BENCHMARK_MAIN();
