--- /dev/null
+++ b/src/core/message_auth_func.h
@@ -0,0 +1,59 @@
+// Message authentication codes by a shared key, for messages between hosts and for the admin port.
+#pragma once
+
+#include <absl/types/span.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "core/error_type.h"
+#include "core/settings_func.h"
+
+namespace agatepost {
+
+// A shared key: 32 random bytes, written as 64 hexadecimal digits.
+using auth_key = std::array<std::uint8_t, 32>;
+
+// A message authentication code: HMAC-SHA512-256 (libsodium's crypto_auth).
+using message_mac = std::array<std::uint8_t, 32>;
+
+// The keys a process accepts. New codes are computed with `current`; `previous` is accepted during a
+// rotation.
+struct auth_keys {
+    std::optional<auth_key> current;
+    std::optional<auth_key> previous;
+};
+
+// Bytes to authenticate.
+using byte_span = absl::Span<const std::uint8_t>;
+
+// Returns a text's bytes.
+inline auto bytes_of(std::string_view text) -> byte_span {
+    return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
+// Parses 64 hexadecimal digits. The error does not repeat the text, because it may be a mistyped key.
+auto parse_auth_key(std::string_view hex) -> result<auth_key>;
+
+// Returns the keys of the settings `key` and `key-previous`; an empty setting is no key.
+auto auth_keys_of(const settings& options) -> result<auth_keys>;
+
+// Computes the code of a message. Different uses of one key must begin their messages with different labels,
+// so that a code of one use is not valid for another.
+auto compute_mac(const auth_key& key, byte_span message) -> message_mac;
+
+// Returns whether `mac` is the code of the message under one of the keys. Takes the same time for every wrong
+// code. False if no key is set or `mac` has the wrong length.
+auto verify_mac(const auth_keys& keys, byte_span message, byte_span mac) -> bool;
+
+// Hexadecimal text of bytes, lower case, and back; an empty optional if the text is not an even number of
+// hexadecimal digits.
+auto to_hex(byte_span bytes) -> std::string;
+auto from_hex(std::string_view hex) -> std::optional<std::string>;
+
+// Returns `size` random bytes as hexadecimal text.
+auto random_hex(std::size_t size) -> std::string;
+
+}  // namespace agatepost
