Feature: [host] Admin port with authenticated requests, and structured log lines

Cause: operators and monitoring need metrics, status, explanations and recent decisions of a running host, and log lines that can be searched.

Change: admin_server (Boost.Beast) serves /metrics, /status, /explain and /history with a thread for each connection, bounded in number, size and time. Requests carry a code over method, target, time and nonce; two keys are accepted. Without a key it listens on loopback only. Log lines have UTC time, host, zone and escaped values, in text or JSON, with a limit of 20 lines of an event in 10 s and a count of the rest. serve starts both.

--- a/src/cmd/serve_cmd.cpp
+++ b/src/cmd/serve_cmd.cpp
@@ -8,7 +8,9 @@
 
 #include "cmd/command_base.h"
 #include "core/clock_type.h"
+#include "core/history_func.h"
 #include "core/log_func.h"
+#include "host/admin_pages_func.h"
 #include "host/config_feed_func.h"
 #include "host/host_base.h"
 #include "host/worker_func.h"
@@ -60,6 +62,7 @@
     if (!options) {
         return tl::unexpected<error>(options.error());
     }
+    configure_log(log_identity_of(*options));
     auto host = host_state(std::move(*options));
     const auto link = pick_plugin<link_plugin>(host.options, "link");
     const auto placement = pick_plugin<placement_plugin>(host.options, "placement");
@@ -73,17 +76,25 @@
     if (!client) {
         return tl::unexpected<error>(client.error());
     }
+    auto admin = make_admin_server(host);
+    if (!admin) {
+        return tl::unexpected<error>(admin.error());
+    }
     const auto signals = block_stop_signals();
+    auto listening = (*admin)->start();
+    if (!listening) {
+        return listening;
+    }
     auto feed = start_config_feed(host, std::move(*client));
     auto workers = start_workers(host);
     if (workers) {
-        write_log(log_event::host_started, {{"host", host.options.text("name")},
-                                            {"zone", host.options.text("zone")},
-                                            {"data", host.options.text("data-address")}});
+        write_log(log_event::host_started, {{"data", host.options.text("data-address")}});
+        record_history(history_kind::host, {{"event", "started"}});
         auto received = 0;
         sigwait(&signals, &received);
         host.is_stopping = true;
         write_log(log_event::host_stopping);
+        record_history(history_kind::host, {{"event", "stopping"}});
         wait_until_quiet(host);
     }
     host.is_done = true;
@@ -94,7 +105,9 @@
     for (auto& worker : *workers) {
         worker.join();
     }
+    (*admin)->stop();
     write_log(log_event::host_stopped);
+    flush_log();
     return {};
 }
 
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,53 +1,242 @@
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <boost/log/expressions.hpp>
 #include <boost/log/trivial.hpp>
-#include <string>
+#include <boost/log/utility/setup/console.hpp>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
 
+#include "core/clock_type.h"
 #include "core/log_func.h"
+#include "core/log_limit_base.h"
 
 namespace agatepost {
 
 namespace {
 
-// One row of table/log_events.h.
-struct log_event_row {
-    std::uint16_t number;
-    std::string_view name;
-    log_severity severity;
-};
+using nlohmann::ordered_json;
 
-constexpr log_event_row rows[] = {
-#define LOG_EVENT(number, name, severity, meaning) {number, #name, log_severity::severity},
+constexpr log_event_row table[] = {
+#define LOG_EVENT(number, name, severity, meaning) {number, #name, log_severity::severity, meaning},
 #include "table/log_events.h"
 #undef LOG_EVENT
 };
 
-auto row_of(log_event event) -> const log_event_row& {
-    for (const auto& row : rows) {
-        if (row.number == static_cast<std::uint16_t>(event)) {
-            return row;
+// Two events of one number would be the same value of the enumeration.
+constexpr auto numbers_are_unique() -> bool {
+    for (const auto* a = std::begin(table); a != std::end(table); ++a) {
+        for (const auto* b = a + 1; b != std::end(table); ++b) {
+            if (a->number == b->number) {
+                return false;
+            }
         }
     }
-    return rows[0];
+    return true;
 }
+static_assert(numbers_are_unique(), "a number appears twice in table/log_events.h");
 
-}  // namespace
+constexpr std::string_view fixed_fields[] = {"time", "severity", "event", "name", "host", "zone", "left_out"};
 
-auto write_log(log_event event, std::initializer_list<log_field> fields) -> void {
-    const auto& row = row_of(event);
-    auto line = "event=" + std::to_string(row.number) + " name=" + std::string(row.name);
-    for (const auto& field : fields) {
-        line += " " + std::string(field.key) + "=\"" + field.value + "\"";
+// State of the log of this process.
+struct log_state {
+    std::mutex mutex;
+    log_identity identity;
+    log_limit limit{log_lines_per_window, log_window_ms};
+};
+
+auto state() -> log_state& {
+    static log_state instance;
+    return instance;
+}
+
+auto row_of(std::uint16_t number) -> const log_event_row& {
+    return *std::find_if(std::begin(table), std::end(table),
+                         [&](const log_event_row& row) { return row.number == number; });
+}
+
+auto severity_of(log_severity severity) -> boost::log::trivial::severity_level {
+    switch (severity) {
+        case log_severity::info:
+            return boost::log::trivial::info;
+        case log_severity::warning:
+            return boost::log::trivial::warning;
+        case log_severity::error:
+            return boost::log::trivial::error;
+    }
+    return boost::log::trivial::error;
+}
+
+// The lines are complete before Boost.Log gets them, so its sink writes the message alone.
+auto ensure_sink() -> void {
+    static const auto sink = boost::log::add_console_log(
+        std::cerr,
+        boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
+        boost::log::keywords::auto_flush = true);
+}
+
+auto quoted(const std::string& value) -> std::string {
+    return ordered_json(value).dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+auto write_line(const log_identity& identity, const log_event_row& row, const std::vector<log_field>& fields)
+    -> void {
+    ensure_sink();
+    const auto line = render_log_line(identity, row, wall_clock_ms(), fields);
+    BOOST_LOG_STREAM_WITH_PARAMS(::boost::log::trivial::logger::get(),
+                                 (::boost::log::keywords::severity = severity_of(row.severity)))
+        << line;
+}
+
+auto write_left_out(log_state& shared, bool all) -> void {
+    for (const auto& [number, lines] : shared.limit.take_left_out(now(), all)) {
+        write_line(shared.identity, row_of(number), {{"left_out", std::to_string(lines)}});
+    }
+}
+
+// Returns the cells of a Markdown table row.
+auto cells_of(absl::string_view line) -> std::vector<std::string> {
+    auto cells = std::vector<std::string>{};
+    const std::vector<absl::string_view> parts = absl::StrSplit(line, '|');
+    for (auto i = std::size_t{1}; i + 1 < parts.size(); ++i) {
+        cells.emplace_back(absl::StripAsciiWhitespace(parts[i]));
     }
-    switch (row.severity) {
+    return cells;
+}
+
+}  // namespace
+
+auto log_event_rows() -> const std::vector<log_event_row>& {
+    static const auto rows = std::vector<log_event_row>(std::begin(table), std::end(table));
+    return rows;
+}
+
+auto to_text(log_severity severity) -> std::string_view {
+    switch (severity) {
         case log_severity::info:
-            BOOST_LOG_TRIVIAL(info) << line;
-            break;
+            return "info";
         case log_severity::warning:
-            BOOST_LOG_TRIVIAL(warning) << line;
-            break;
+            return "warning";
         case log_severity::error:
-            BOOST_LOG_TRIVIAL(error) << line;
-            break;
+            return "error";
+    }
+    return "error";
+}
+
+auto log_identity_of(const settings& options) -> log_identity {
+    return {options.text("log-format") == "json" ? log_format::json : log_format::text, options.text("name"),
+            options.text("zone")};
+}
+
+auto configure_log(log_identity identity) -> void {
+    auto& shared = state();
+    const auto lock = std::lock_guard<std::mutex>(shared.mutex);
+    shared.identity = std::move(identity);
+}
+
+auto write_log(log_event event, std::initializer_list<log_field> fields) -> void {
+    auto& shared = state();
+    const auto lock = std::lock_guard<std::mutex>(shared.mutex);
+    const auto number = static_cast<std::uint16_t>(event);
+    const auto left_out = shared.limit.admit(number, now());
+    if (left_out) {
+        auto all = std::vector<log_field>(fields);
+        if (*left_out != 0) {
+            all.insert(all.begin(), log_field{"left_out", std::to_string(*left_out)});
+        }
+        write_line(shared.identity, row_of(number), all);
+    }
+    write_left_out(shared, false);
+}
+
+auto flush_log() -> void {
+    auto& shared = state();
+    const auto lock = std::lock_guard<std::mutex>(shared.mutex);
+    write_left_out(shared, true);
+}
+
+auto render_log_line(const log_identity& identity, const log_event_row& row, std::int64_t wall_ms,
+                     const std::vector<log_field>& fields) -> std::string {
+    auto members = std::vector<std::pair<std::string, ordered_json>>{
+        {"time", utc_text(wall_ms)}, {"severity", std::string(to_text(row.severity))},
+        {"event", row.number},       {"name", std::string(row.name)},
+        {"host", identity.host},     {"zone", identity.zone}};
+    for (const auto& field : fields) {
+        const auto is_fixed =
+            field.key != "left_out" &&
+            std::find(std::begin(fixed_fields), std::end(fixed_fields), field.key) != std::end(fixed_fields);
+        members.emplace_back((is_fixed ? "field_" : "") + std::string(field.key), field.value);
+    }
+    if (identity.format == log_format::json) {
+        auto object = ordered_json::object();
+        for (auto& [key, value] : members) {
+            object[key] = std::move(value);
+        }
+        return object.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+    }
+    // Values from this program's own lists need no quotes; all others have them.
+    auto line = std::string();
+    for (auto i = std::size_t{0}; i < members.size(); ++i) {
+        const auto& [key, value] = members[i];
+        const auto is_plain = i < 4 && value.is_string();
+        line += (i == 0 ? "" : " ") + key + "=" +
+                (is_plain            ? value.get<std::string>()
+                 : value.is_string() ? quoted(value.get<std::string>())
+                                     : value.dump());
+    }
+    return line;
+}
+
+auto utc_text(std::int64_t wall_ms) -> std::string {
+    return absl::FormatTime("%Y-%m-%d%ET%H:%M:%E3SZ", absl::FromUnixMillis(wall_ms), absl::UTCTimeZone());
+}
+
+auto catalogue_problems(const std::vector<log_event_row>& events, std::string_view markdown)
+    -> std::vector<std::string> {
+    auto problems = std::vector<std::string>{};
+    auto entries = std::map<int, std::vector<std::string>>{};
+    for (const auto line : absl::StrSplit(absl::string_view(markdown.data(), markdown.size()), '\n')) {
+        auto cells = cells_of(line);
+        auto number = 0;
+        if (cells.empty() || !absl::SimpleAtoi(cells[0], &number)) {
+            continue;
+        }
+        if (cells.size() != 5 || cells[4].empty()) {
+            problems.push_back(absl::StrCat("event ", number, ": the catalogue does not say what to do"));
+        }
+        cells.resize(5);
+        if (!entries.emplace(number, std::move(cells)).second) {
+            problems.push_back(absl::StrCat("event ", number, ": two catalogue entries"));
+        }
+    }
+    auto used = std::set<int>{};
+    for (const auto& event : events) {
+        if (!used.insert(event.number).second) {
+            problems.push_back(absl::StrCat("event ", event.number, ": number used twice"));
+        }
+        const auto found = entries.find(event.number);
+        if (found == entries.end()) {
+            problems.push_back(
+                absl::StrCat("event ", event.number, " ", std::string(event.name), ": no catalogue entry"));
+        } else if (found->second[1] != event.name || found->second[2] != to_text(event.severity) ||
+                   found->second[3] != event.meaning) {
+            problems.push_back(absl::StrCat("event ", event.number, " ", std::string(event.name),
+                                            ": name, severity or meaning differs from the catalogue"));
+        }
+    }
+    for (const auto& [number, cells] : entries) {
+        if (used.count(number) == 0) {
+            problems.push_back(absl::StrCat("event ", number, ": in the catalogue only"));
+        }
     }
+    return problems;
 }
 
 }  // namespace agatepost
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -4,6 +4,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <map>
+#include <nlohmann/json.hpp>
 
 #include "core/counter_func.h"
 #include "core/histogram_func.h"
@@ -91,8 +92,7 @@
     auto& table = gauges();
     const auto lock = absl::MutexLock(&table.mutex);
     for (const auto& [name, row] : table.rows) {
-        append_header(out, name, row.help, "gauge");
-        absl::StrAppend(&out, name, " ", row.read(), "\n");
+        out += render_gauge(name, row.help, row.read());
     }
 }
 
@@ -101,13 +101,22 @@
 auto add_gauge(std::string_view name, std::string_view help, std::function<double()> read) -> void {
     auto& table = gauges();
     const auto lock = absl::MutexLock(&table.mutex);
-    table.rows["agatepost_" + std::string(name)] = gauge_row{std::string(help), std::move(read)};
+    table.rows[std::string(name)] = gauge_row{std::string(help), std::move(read)};
 }
 
 auto remove_gauge(std::string_view name) -> void {
     auto& table = gauges();
     const auto lock = absl::MutexLock(&table.mutex);
-    table.rows.erase("agatepost_" + std::string(name));
+    table.rows.erase(std::string(name));
+}
+
+auto render_gauge(std::string_view name, std::string_view help, double value) -> std::string {
+    const auto full_name = "agatepost_" + std::string(name);
+    auto out = std::string();
+    append_header(out, full_name, help, "gauge");
+    // The JSON form of a number reads back as the same value; StrAppend keeps six digits only.
+    absl::StrAppend(&out, full_name, " ", nlohmann::json(value).dump(), "\n");
+    return out;
 }
 
 auto render_metrics() -> std::string {
--- a/src/core/metrics_func.h
+++ b/src/core/metrics_func.h
@@ -14,6 +14,9 @@
 // Removes a gauge. No call of its function is in progress afterwards.
 auto remove_gauge(std::string_view name) -> void;
 
+// Renders one value as a gauge, for values that do not outlive their owner.
+auto render_gauge(std::string_view name, std::string_view help, double value) -> std::string;
+
 // Renders everything in the Prometheus text format, version 0.0.4. All names begin with agatepost_.
 auto render_metrics() -> std::string;
 
