Feature: [flow] Chooser, owner flows, silent flows and the path that uses them

Cause: every new flow was placed by the hash of its 5-tuple, with no counts, no limits, no retry, and any host guessed the target of a packet without an index.

Change: the chooser of a pool holds an entry for each open flow and complete counts for each target; it enforces limits and reserves, retries unanswered and refused SYNs within a budget, and connects only the first target that answers. Flows that cannot carry their target have an owner host by a bucket table, with entries and exceptions. Silent flows are found from notes of fixed size and reset at both ends after all live hosts answered a query. Hosts exchange counts, activity, exceptions and silent queries through peer_channel.

--- /dev/null
+++ b/src/flow/chooser_base.h
@@ -0,0 +1,283 @@
+// The chooser of a pool in a zone: complete counts for each target and an entry for each open flow.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <shared_mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/snapshot_type.h"
+#include "core/clock_type.h"
+#include "core/counter_func.h"
+#include "flow/flow_type.h"
+
+namespace agatepost {
+
+// Which end of a flow sent a packet.
+enum class flow_end : std::uint8_t {
+    client,  // forward packet
+    target,  // reverse packet
+};
+
+// Slots busy and connections, by target index.
+struct target_counts {
+    std::uint32_t slots_busy = 0;
+    std::uint32_t connections = 0;
+
+    friend auto operator==(const target_counts& a, const target_counts& b) -> bool {
+        return a.slots_busy == b.slots_busy && a.connections == b.connections;
+    }
+};
+using pool_counts = std::array<target_counts, 256>;
+using indexed_counts = std::vector<std::pair<std::uint8_t, target_counts>>;
+
+// What to do with a SYN: send it to `target`, or refuse it for `reason` if `target` is 0.
+struct open_result {
+    std::uint8_t target = 0;
+    counter reason = counter::refuse_no_target;
+};
+
+// What to do with a SYN-ACK or with a reset that refuses a SYN.
+enum class answer_action : std::uint8_t {
+    to_client,     // deliver it
+    reset_target,  // another target is connected: answer the sender with a reset
+    retry,         // send the returned SYN to another target
+    drop,          // deliver nothing
+};
+
+// A kept SYN and the target to send it to.
+struct syn_retry {
+    std::uint8_t target = 0;
+    std::vector<std::uint8_t> packet;
+};
+
+// Outcome of a refused SYN.
+struct refusal_result {
+    answer_action action = answer_action::drop;
+    syn_retry retry;
+};
+
+// Why a target did not get a flow; the values are reported to operators by candidate_fault_text.
+enum class candidate_fault : std::uint8_t {
+    none,         // usable
+    not_ready,    // draining
+    other_zone,   // not in this zone, and the profile or a usable local target rules it out
+    passed_over,  // recent SYNs unanswered or refused, or reported unreachable
+    slow_start,   // at the raised limit of its slow start
+    at_limit,     // at its limit for this profile, reserves of higher priorities included
+};
+
+auto candidate_fault_text(candidate_fault fault) -> std::string_view;
+
+// One target as the chooser sees it.
+struct target_status {
+    std::string name;
+    std::uint8_t index = 0;
+    target_state state = target_state::ready;
+    target_counts own;        // flows with an entry
+    target_counts inherited;  // flows of the previous chooser, without an entry here
+    target_counts outside;    // flows of owner hosts
+    std::uint32_t slots = 0;
+    std::uint32_t connections = 0;
+    std::int64_t passed_over_ms = 0;  // time left
+    bool is_reported_unreachable = false;
+    double share = 1;                               // below 1 during slow start
+    double load = 0;                                // only from explain: used share of the limit
+    candidate_fault fault = candidate_fault::none;  // only from explain
+};
+
+// The state of one pool's chooser.
+struct pool_status {
+    std::string pool;
+    std::size_t open_flows = 0;
+    std::size_t half_open_flows = 0;
+    double retry_tokens = 0;
+    bool are_marks_ignored = false;  // most targets look bad
+    std::vector<target_status> targets;
+};
+
+// The open flows and counts of one pool. All functions are thread-safe.
+class pool_chooser {
+public:
+    // `seed` sets the random choice among equally loaded targets.
+    pool_chooser(std::string pool, std::string zone, std::uint64_t seed);
+
+    // Takes over the pool's targets and profiles from a snapshot. Does nothing if this revision is in force.
+    auto configure(const snapshot& config, std::uint32_t pool, time_ms at) -> void;
+
+    // Places a SYN. A retransmission (same sequence number) goes to the entry's target. The SYN is kept for
+    // a retry until it is answered.
+    auto open(const flow_id& id, std::string_view profile_name, std::uint32_t sequence,
+              const std::uint8_t* packet, std::size_t size, time_ms at) -> open_result;
+
+    // Handles a SYN-ACK from a target.
+    auto answer(const flow_id& id, std::uint8_t from, std::string_view profile_name, time_ms at)
+        -> answer_action;
+
+    // Handles a reset from a target that refuses a SYN.
+    auto refused(const flow_id& id, std::uint8_t from, time_ms at) -> refusal_result;
+
+    // Notes a FIN or reset. `index` is the target carried by or sending the packet, 0 if unknown. With
+    // `may_adopt`, the close of a flow without an entry counts against the inherited flows.
+    auto close(const flow_id& id, flow_end sender, bool is_reset, std::uint8_t index, bool may_adopt,
+               std::string_view profile_name, time_ms at) -> void;
+
+    // Notes that a flow is in use, so that its entry does not expire.
+    auto touch(const flow_id& id, std::uint8_t index, std::string_view profile_name, time_ms at) -> void;
+
+    // Returns the SYNs whose time-out has passed, each with its next target, and drops entries that are
+    // idle, half-closed or half-open for too long. Scans one shard of the table for each call.
+    auto expire(time_ms at) -> std::vector<syn_retry>;
+
+    // Returns the target of an open flow, or 0.
+    auto target_of(const flow_id& id) const -> std::uint8_t;
+
+    // Returns own and inherited counts together, for the next chooser.
+    auto counts() const -> pool_counts;
+
+    // Returns the counts of flows with an entry.
+    auto own_counts() const -> pool_counts;
+
+    // Replaces the inherited counts by those of the previous chooser.
+    auto inherit(const pool_counts& previous) -> void;
+
+    // Adds the counts of flows that a host placed without being the chooser.
+    auto add_inherited(const indexed_counts& placed) -> void;
+
+    // Replaces the counts of flows that an owner host holds without the chooser (UDP, TCP without
+    // timestamps). They are dropped when the owner sends none for some seconds.
+    auto set_outside(const std::string& sender, const indexed_counts& held, time_ms at) -> void;
+
+    // Takes in a target's report of its load. See report_bound_share for its influence.
+    auto apply_report(std::uint8_t index, std::uint32_t slots_busy, std::uint32_t connections,
+                      bool is_reachable, time_ms at) -> void;
+
+    // Returns whether a target answers new SYNs, as far as the chooser has seen.
+    auto answers_opens(std::uint8_t index, time_ms at) const -> bool;
+
+    auto status(time_ms at) const -> pool_status;
+
+    // As status, with the load and the fault of each target for a new flow of a profile.
+    auto explain(std::string_view profile_name, time_ms at) const -> pool_status;
+
+    // Bytes held by the flow table.
+    auto table_bytes() const -> std::size_t;
+
+private:
+    static constexpr std::size_t shard_total = 16;  // one is scanned for each expire
+
+    struct entry {
+        std::uint32_t touched = 0;  // low 32 bits of time_ms
+        std::uint32_t sequence = 0;
+        std::uint16_t rules = 0;
+        std::uint8_t target = 0;
+        std::uint8_t flags = 0;
+    };
+    struct half_open {
+        std::vector<std::uint8_t> packet;
+        std::vector<std::uint8_t> tried;
+        time_ms started;
+        time_ms deadline;
+    };
+    struct slot {
+        target object;
+        bool is_present = false;
+        std::array<std::uint32_t, 2> own{};  // by flow_kind
+        std::array<std::uint32_t, 2> inherited{};
+        std::array<std::uint32_t, 2> outside{};
+        std::vector<std::uint32_t> by_rules;
+        time_ms cold_since;
+        bool is_cold = false;
+        time_ms passed_over_until;
+        std::uint32_t failures = 0;  // in a row
+        std::array<std::uint32_t, 2> reported{};
+        time_ms reported_at;
+        bool is_reported = false;
+        bool is_unreachable = false;
+    };
+    struct outside_counts {
+        indexed_counts held;
+        time_ms at;
+    };
+    struct candidate_view {
+        candidate_fault fault = candidate_fault::none;
+        double load = 0;
+    };
+    using shard = absl::flat_hash_map<flow_id, entry>;
+
+    auto shard_of(const flow_id& id) -> shard& { return shards_[id.high % shard_total]; }
+    auto shard_of(const flow_id& id) const -> const shard& { return shards_[id.high % shard_total]; }
+    auto rules_of(std::string_view profile_name) const -> std::optional<std::uint16_t>;
+    auto is_bad(const slot& s, time_ms at) const -> bool;
+    auto are_marks_ignored(time_ms at) const -> bool;
+    auto share_of(const slot& s, const profile& rules, time_ms at) const -> double;
+    auto judge(const slot& s, std::uint16_t rules, bool ignore_marks, time_ms at) const -> candidate_view;
+    auto limit_of(const slot& s, std::uint16_t rules) const -> std::uint32_t;
+    auto pick(std::uint16_t rules, const std::vector<std::uint8_t>& tried, time_ms at, counter& reason)
+        -> std::uint8_t;
+    auto add(std::uint8_t index, std::uint16_t rules) -> void;
+    auto remove(std::uint8_t index, std::uint16_t rules) -> void;
+    auto release(entry& e, time_ms at) -> void;
+    auto adopt(const flow_id& id, std::uint8_t index, std::uint16_t rules, time_ms at) -> entry&;
+    auto mark_failure(std::uint8_t index, time_ms at) -> void;
+    auto next_target(entry& e, half_open& pending, counter reason, time_ms at) -> std::uint8_t;
+    auto count_entry(entry& e) -> void;
+    auto sum_outside(time_ms at) -> void;
+    static auto used_of(const slot& s, std::size_t kind) -> std::uint32_t;
+    auto expire_half_open(time_ms at, std::vector<syn_retry>& retries) -> void;
+    auto expire_shard(time_ms at) -> void;
+    auto status_locked(time_ms at) const -> pool_status;
+
+    mutable std::mutex mutex_;
+    std::string pool_;
+    std::string zone_;
+    std::uint64_t revision_ = 0;
+    bool is_configured_ = false;
+    std::vector<profile> rules_;             // by position, never removed: entries refer to it
+    std::vector<int> closed_share_percent_;  // of each position: reserve of higher priorities
+    std::vector<slot> slots_;                // by target index
+    std::array<shard, shard_total> shards_;
+    absl::flat_hash_map<flow_id, half_open> half_open_;
+    absl::flat_hash_map<std::string, outside_counts> outside_;  // by owner host
+    std::size_t next_shard_ = 0;
+    time_ms next_scan_;
+    double retry_tokens_;
+    time_ms refilled_at_;
+    std::minstd_rand random_;
+};
+
+// The choosers of one host, by pool name. Thread-safe.
+class chooser_set {
+public:
+    explicit chooser_set(std::string zone) : zone_(std::move(zone)) {}
+
+    // Returns the chooser of a pool with the snapshot in force. If there is none, creates it with the
+    // inherited counts, unless they are nullptr.
+    auto of_pool(const snapshot& config, std::uint32_t pool, const pool_counts* inherited, time_ms at)
+        -> std::shared_ptr<pool_chooser>;
+
+    // Returns the chooser of a pool, or nullptr if this host has none.
+    auto find(std::string_view pool) const -> std::shared_ptr<pool_chooser>;
+
+    // Returns all choosers with their pool names.
+    auto all() const -> std::vector<std::pair<std::string, std::shared_ptr<pool_chooser>>>;
+
+    // Removes the chooser of a pool, after its counts have been sent to the next one.
+    auto remove(std::string_view pool) -> void;
+
+private:
+    std::string zone_;
+    mutable std::shared_mutex mutex_;
+    std::map<std::string, std::shared_ptr<pool_chooser>, std::less<>> choosers_;
+};
+
+}  // namespace agatepost
--- /dev/null
+++ b/src/host/forward_messages.cpp
@@ -0,0 +1,646 @@
+#include "host/forward_messages_func.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "core/counter_func.h"
+#include "core/log_func.h"
+#include "flow/hash_func.h"
+#include "host/forward_func.h"
+#include "net/byte_order_func.h"
+#include "peer/host_view_func.h"
+
+namespace agatepost {
+
+namespace {
+
+using nlohmann::json;
+using bytes = std::vector<std::uint8_t>;
+
+constexpr std::string_view counts_type = "flow-counts";
+constexpr std::string_view owner_counts_type = "flow-owner-counts";
+constexpr std::string_view activity_type = "flow-activity";
+constexpr std::string_view exceptions_type = "flow-exceptions";
+constexpr std::string_view query_type = "silent-query";
+constexpr std::string_view answer_type = "silent-answer";
+
+constexpr auto tick = std::chrono::milliseconds(10);
+constexpr std::int64_t message_pause_ms = 250;
+// One counts message covers this many indexes: 11 bytes each at most, below the 1200 bytes of a datagram.
+constexpr std::size_t counts_range = 64;
+constexpr std::size_t owner_counts_by_datagram = 90;
+// 16 queries of 21 bytes to 4 hosts every 250 ms are 5.4 KB/s, sent only while flows are under suspicion.
+constexpr std::size_t queries_by_pause = 16;
+// 20 notices of 17 bytes every 250 ms are 1.4 KB/s.
+constexpr std::size_t activities_by_pause = 20;
+// 50 exceptions of 9 bytes every 250 ms are 1.8 KB/s.
+constexpr std::size_t exceptions_by_pause = 50;
+constexpr std::size_t exceptions_by_message = 256;
+// A host that lost the role goes on handling what late hosts relay to it.
+constexpr std::int64_t lost_role_grace_ms = 2000;
+constexpr std::int64_t silent_log_pause_ms = 1000;
+
+// What a counts message means to its receiver.
+enum class counts_use {
+    keep = 0,     // to be kept for the case that the sender dies
+    replace = 1,  // the sender gave up the role of chooser
+    add = 2,      // the sender placed some flows without having the role
+};
+
+auto append_id(bytes& out, const flow_id& id) -> void {
+    const auto at = out.size();
+    out.resize(at + 16);
+    store_u32(&out[at], static_cast<std::uint32_t>(id.high >> 32U));
+    store_u32(&out[at + 4], static_cast<std::uint32_t>(id.high));
+    store_u32(&out[at + 8], static_cast<std::uint32_t>(id.low >> 32U));
+    store_u32(&out[at + 12], static_cast<std::uint32_t>(id.low));
+}
+
+auto load_u64(const std::uint8_t* p) -> std::uint64_t {
+    return (static_cast<std::uint64_t>(load_u32(p)) << 32U) | load_u32(p + 4);
+}
+
+auto load_id(const std::uint8_t* p) -> flow_id {
+    return {load_u64(p), load_u64(p + 8)};
+}
+
+// Returns a binary field whose size is a multiple of `item`, or nullptr.
+auto binary_field(const json& body, const char* field, std::size_t item) -> const bytes* {
+    const auto found = body.find(field);
+    if (found == body.end() || !found->is_binary() || found->get_binary().size() % item != 0) {
+        return nullptr;
+    }
+    return &found->get_binary();
+}
+
+auto text_field(const json& body, const char* field) -> std::string {
+    const auto found = body.find(field);
+    return found != body.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+auto number_field(const json& body, const char* field) -> std::int64_t {
+    const auto found = body.find(field);
+    return found != body.end() && found->is_number_integer() ? found->get<std::int64_t>() : -1;
+}
+
+// Reads [index, slots, connections, ...].
+auto counts_field(const json& body, const char* field, indexed_counts& out) -> bool {
+    constexpr std::int64_t count_max = 100000000;
+    const auto found = body.find(field);
+    if (found == body.end() || !found->is_array() || found->size() % 3 != 0) {
+        return false;
+    }
+    const auto is_sound = std::all_of(found->begin(), found->end(), [](const json& value) {
+        return value.is_number_integer() && value.get<std::int64_t>() >= 0 &&
+               value.get<std::int64_t>() <= count_max;
+    });
+    if (!is_sound) {
+        return false;
+    }
+    for (auto i = std::size_t{0}; i < found->size(); i += 3) {
+        const auto index = (*found)[i].get<std::int64_t>();
+        if (index < 1 || index > 255) {
+            return false;
+        }
+        out.emplace_back(
+            static_cast<std::uint8_t>(index),
+            target_counts{(*found)[i + 1].get<std::uint32_t>(), (*found)[i + 2].get<std::uint32_t>()});
+    }
+    return true;
+}
+
+auto append_counts(json& list, std::uint8_t index, const target_counts& held) -> void {
+    list.push_back(index);
+    list.push_back(held.slots_busy);
+    list.push_back(held.connections);
+}
+
+auto reject() -> void {
+    count(counter::flow_messages_rejected);
+}
+
+auto find_host(const host_view& view, const std::string& name) -> const host_record* {
+    const auto found = std::find_if(view.hosts.begin(), view.hosts.end(),
+                                    [&](const host_record& host) { return host.name == name; });
+    return found == view.hosts.end() ? nullptr : &*found;
+}
+
+auto other_hosts(const host_view& view) -> std::vector<std::string> {
+    auto names = std::vector<std::string>{};
+    for (const auto& host : view.hosts) {
+        if (host.name != view.self) {
+            names.push_back(host.name);
+        }
+    }
+    return names;
+}
+
+// The first host of the rendezvous that is not this one.
+auto next_chooser(const host_view& view, const std::string& pool) -> const host_record* {
+    const auto* first = host_of_rank(view, stable_hash(pool), 0);
+    return first != nullptr && first->name == view.self ? host_of_rank(view, stable_hash(pool), 1) : first;
+}
+
+auto next_owner(const host_view& view, const bucket_table& buckets, const flow_id& id) -> const host_record* {
+    const auto* owner = buckets.owner(id);
+    return owner != nullptr && owner->name == view.self ? buckets.second_ranked(id) : owner;
+}
+
+auto send_counts(const host_record& to, const std::string& pool, const pool_counts& counts, counts_use use,
+                 const peer_channel& channel) -> void {
+    for (auto begin = std::size_t{0}; begin < counts.size(); begin += counts_range) {
+        const auto end = begin + counts_range;
+        auto list = json::array();
+        for (auto i = std::max<std::size_t>(1, begin); i < end; ++i) {
+            if (counts[i].slots_busy != 0 || counts[i].connections != 0) {
+                append_counts(list, static_cast<std::uint8_t>(i), counts[i]);
+            }
+        }
+        if (list.empty() && begin != 0) {
+            continue;
+        }
+        const auto body = json{{"p", pool}, {"b", begin}, {"u", static_cast<int>(use)}, {"c", list}};
+        if (use == counts_use::keep) {
+            channel.send(to, counts_type, body);
+        } else {
+            channel.send_reliable(to, counts_type, body);
+        }
+    }
+}
+
+auto on_counts(host_state& host, const json& body) -> void {
+    const auto pool = text_field(body, "p");
+    const auto begin = number_field(body, "b");
+    const auto use = number_field(body, "u");
+    auto list = indexed_counts{};
+    const auto config = host.config.load();
+    // Unknown pools are refused, so that the table of received counts cannot grow without limit.
+    if (begin < 0 || begin > 255 || use < 0 || use > 2 || !counts_field(body, "c", list) ||
+        pool_position(*config, pool) < 0) {
+        reject();
+        return;
+    }
+    const auto at = now();
+    const auto chooser = host.flows.choosers.find(pool);
+    if (use == static_cast<int>(counts_use::add)) {
+        if (chooser != nullptr) {
+            chooser->add_inherited(list);
+        }
+        return;
+    }
+    const auto lock = std::lock_guard(host.flows.received_mutex);
+    auto& kept = host.flows.received[pool];
+    // Ranges without any count are not sent, so the first one starts the array anew.
+    const auto first = static_cast<std::size_t>(begin);
+    std::fill(kept.counts.begin() + static_cast<std::ptrdiff_t>(first), kept.counts.end(), target_counts{});
+    for (const auto& [index, held] : list) {
+        kept.counts[index] = held;
+    }
+    kept.at = at;
+    if (use == static_cast<int>(counts_use::replace) && chooser != nullptr) {
+        chooser->inherit(kept.counts);
+    }
+}
+
+auto on_owner_counts(host_state& host, const std::string& sender, const json& body) -> void {
+    auto list = indexed_counts{};
+    if (!counts_field(body, "c", list)) {
+        reject();
+        return;
+    }
+    if (const auto chooser = host.flows.choosers.find(text_field(body, "p"))) {
+        chooser->set_outside(sender, list, now());
+    }
+}
+
+auto on_activity(host_state& host, const json& body) -> void {
+    constexpr std::size_t item = 17;
+    const auto* items = binary_field(body, "e", item);
+    if (items == nullptr) {
+        reject();
+        return;
+    }
+    const auto chooser = host.flows.choosers.find(text_field(body, "p"));
+    const auto profile_name = text_field(body, "r");
+    for (auto i = std::size_t{0}; chooser != nullptr && i < items->size(); i += item) {
+        chooser->touch(load_id(&(*items)[i]), (*items)[i + 16], profile_name, now());
+    }
+}
+
+auto on_exceptions(host_state& host, const json& body) -> void {
+    constexpr std::size_t item = 9;
+    const auto* items = binary_field(body, "e", item);
+    if (items == nullptr) {
+        reject();
+        return;
+    }
+    for (auto i = std::size_t{0}; i < items->size(); i += item) {
+        host.flows.owned.learn({load_u64(&(*items)[i]), (*items)[i + 8]}, now());
+    }
+}
+
+auto on_query(host_state& host, const peer_channel& channel, const std::string& sender, const json& body)
+    -> void {
+    constexpr std::size_t item = 21;
+    const auto* items = binary_field(body, "q", item);
+    if (items == nullptr) {
+        reject();
+        return;
+    }
+    const auto view = host.view.load();
+    const auto* asker = find_host(*view, sender);
+    if (asker == nullptr) {
+        return;
+    }
+    const auto chooser = host.flows.choosers.find(text_field(body, "p"));
+    auto answers = bytes{};
+    for (auto i = std::size_t{0}; i < items->size(); i += item) {
+        const auto* one = &(*items)[i];
+        const auto id = load_id(one);
+        auto verdict = silence_verdict::not_seen;
+        if (host.flows.notes.has_answer_within(id, load_u32(one + 17), now())) {
+            verdict = silence_verdict::seen;
+        } else if (chooser != nullptr && !chooser->answers_opens(one[16], now())) {
+            verdict = silence_verdict::target_down;
+        }
+        append_id(answers, id);
+        answers.push_back(static_cast<std::uint8_t>(verdict));
+    }
+    channel.send(*asker, answer_type, json{{"a", json::binary(answers)}});
+}
+
+auto on_answer(host_state& host, const std::string& sender, const json& body) -> void {
+    constexpr std::size_t item = 17;
+    const auto* items = binary_field(body, "a", item);
+    if (items == nullptr) {
+        reject();
+        return;
+    }
+    for (auto i = std::size_t{0}; i < items->size(); i += item) {
+        const auto id = load_id(&(*items)[i]);
+        const auto verdict = (*items)[i + 16];
+        if (verdict > static_cast<std::uint8_t>(silence_verdict::target_down)) {
+            reject();
+            continue;
+        }
+        if (host.flows.suspects.answer(id, sender, static_cast<silence_verdict>(verdict))) {
+            host.flows.notes.clear_unanswered(id);
+        }
+    }
+}
+
+// State of the timer thread.
+struct timer_state {
+    std::map<std::string, time_ms> lost_roles;  // pools whose chooser moved away, and when
+    std::set<std::string> has_role;             // pools this host is the chooser of
+    std::uint64_t exceptions_version = 0;       // view and configuration of the last search
+    std::uint64_t exceptions_revision = 0;
+    std::size_t exceptions_shard = flow_table::shard_total;         // next one to search; the total: none
+    std::deque<std::pair<std::string, flow_exception>> exceptions;  // to send, with the receiver's name
+    time_ms logged_silent;
+};
+
+auto context_of(host_state& host, const snapshot& config, const host_view& view, time_ms at)
+    -> forward_context {
+    return forward_context{&config, &view, host.placement, host.flows.zone, &host.flows, at};
+}
+
+// Leaves the packets of a sink to the workers.
+auto give_to_workers(host_state& host, const packet_sink& sink) -> void {
+    for (const auto& packet : sink.packets()) {
+        const auto is_taken = host.flows.outgoing.push(
+            pending_packet{bytes(packet.inner, packet.inner + packet.size), packet.relay, packet.host});
+        if (!is_taken) {
+            count(counter::drop_send_failed);
+        }
+    }
+}
+
+auto retry_opens(host_state& host, const forward_context& context) -> void {
+    auto sink = packet_sink{};
+    for (const auto& [pool, chooser] : host.flows.choosers.all()) {
+        for (const auto& retry : chooser->expire(context.at)) {
+            forward_retry(context, retry, sink);
+        }
+    }
+    give_to_workers(host, sink);
+}
+
+// Takes up and gives up the role of chooser as the view says.
+auto update_roles(host_state& host, const peer_channel& channel, const forward_context& context,
+                  timer_state& state) -> void {
+    const auto& view = *context.view;
+    if (view.hosts.empty()) {
+        return;
+    }
+    for (auto i = std::size_t{0}; i < context.config->pools.size(); ++i) {
+        const auto& pool = context.config->pools[i].name;
+        const auto* first = host_of_rank(view, stable_hash(pool), 0);
+        if (first != nullptr && first->name == view.self) {
+            state.lost_roles.erase(pool);
+            if (state.has_role.insert(pool).second) {
+                write_log(log_event::chooser_started, {{"pool", pool}});
+            }
+            chooser_of(host.flows, *context.config, static_cast<std::uint32_t>(i), context.at);
+            continue;
+        }
+        const auto chooser = host.flows.choosers.find(pool);
+        if (chooser == nullptr || first == nullptr) {
+            state.has_role.erase(pool);
+            continue;
+        }
+        const auto [lost, is_new] = state.lost_roles.emplace(pool, context.at);
+        if (is_new && state.has_role.erase(pool) != 0) {
+            send_counts(*first, pool, chooser->counts(), counts_use::replace, channel);
+            write_log(log_event::chooser_handed_over, {{"pool", pool}, {"to", first->name}});
+            host.flows.choosers.remove(pool);
+            state.lost_roles.erase(lost);
+        } else if (context.at - lost->second >= lost_role_grace_ms) {
+            send_counts(*first, pool, chooser->own_counts(), counts_use::add, channel);
+            host.flows.choosers.remove(pool);
+            state.lost_roles.erase(lost);
+        }
+    }
+}
+
+auto send_pool_counts(host_state& host, const peer_channel& channel, const forward_context& context) -> void {
+    const auto& view = *context.view;
+    for (const auto& [pool, chooser] : host.flows.choosers.all()) {
+        const auto* first = host_of_rank(view, stable_hash(pool), 0);
+        const auto* second = host_of_rank(view, stable_hash(pool), 1);
+        if (first != nullptr && second != nullptr && first->name == view.self) {
+            send_counts(*second, pool, chooser->counts(), counts_use::keep, channel);
+        }
+    }
+}
+
+auto send_owner_counts(host_state& host, const peer_channel& channel, const forward_context& context)
+    -> void {
+    const auto& view = *context.view;
+    for (const auto& pool : context.config->pools) {
+        const auto held = host.flows.owned.counts(pool.name);
+        const auto* chooser = host_of_rank(view, stable_hash(pool.name), 0);
+        if (chooser == nullptr || chooser->name == view.self) {
+            if (const auto own = host.flows.choosers.find(pool.name)) {
+                own->set_outside(view.self, held, context.at);
+            }
+            continue;
+        }
+        if (held.empty()) {
+            continue;  // the chooser drops old counts by their age
+        }
+        auto list = json::array();
+        for (const auto& [index, counts] : held) {
+            append_counts(list, index, counts);
+        }
+        const auto body = json{{"p", pool.name}, {"c", list}};
+        if (held.size() <= owner_counts_by_datagram) {
+            channel.send(*chooser, owner_counts_type, body);
+        } else {
+            channel.send_reliable(*chooser, owner_counts_type, body);
+        }
+    }
+}
+
+auto send_activities(host_state& host, const peer_channel& channel, const forward_context& context) -> void {
+    auto by_group = std::map<std::pair<std::string, std::string>, std::vector<flow_activity>>{};
+    for (auto& one : host.flows.activities.take(activities_by_pause)) {
+        by_group[{one.pool, one.profile_name}].push_back(one);
+    }
+    for (const auto& [group, activities] : by_group) {
+        const auto* chooser = host_of_rank(*context.view, stable_hash(group.first), 0);
+        auto items = bytes{};
+        for (const auto& one : activities) {
+            if (chooser == nullptr || chooser->name == context.view->self) {
+                if (const auto own = host.flows.choosers.find(group.first)) {
+                    own->touch(one.id, one.index, group.second, context.at);
+                }
+                continue;
+            }
+            append_id(items, one.id);
+            items.push_back(one.index);
+        }
+        if (!items.empty()) {
+            channel.send(*chooser, activity_type,
+                         json{{"p", group.first}, {"r", group.second}, {"e", json::binary(items)}});
+        }
+    }
+}
+
+// Returns the pure pick of an owned flow, or nullptr.
+auto pure_pick_of(const snapshot& config, const std::string& zone, const owned_flow& flow) -> const target* {
+    for (const auto& pool : config.pools) {
+        if (static_cast<std::uint32_t>(stable_hash(pool.name)) == flow.pool_hash) {
+            return pure_pick(pool, zone, flow.id);
+        }
+    }
+    return nullptr;
+}
+
+// Finds the exceptions of one shard and their receivers: the owner if it is another host, else the bucket's
+// second-ranked host. Exceptions kept for others' flows go only to a new owner.
+auto search_shard(host_state& host, const forward_context& context, std::size_t shard, timer_state& state)
+    -> void {
+    const auto& view = *context.view;
+    const auto buckets = host.flows.buckets.of_view(view, context.at);
+    for (const auto& flow : host.flows.owned.flows_of_shard(shard)) {
+        const auto* picked = pure_pick_of(*context.config, host.flows.zone, flow);
+        const auto* to = next_owner(view, *buckets, flow.id);
+        if (to != nullptr && (picked == nullptr || picked->index != flow.target)) {
+            state.exceptions.emplace_back(to->name, flow_exception{flow.id.high, flow.target});
+        }
+    }
+    for (const auto& kept : host.flows.owned.exceptions_of_shard(shard)) {
+        const auto* owner = buckets->owner(flow_id{kept.id_high, 0});
+        if (owner != nullptr && owner->name != view.self) {
+            state.exceptions.emplace_back(owner->name, kept);
+        }
+    }
+}
+
+auto add_new_exceptions(host_state& host, const forward_context& context, timer_state& state) -> void {
+    const auto buckets = host.flows.buckets.of_view(*context.view, context.at);
+    for (const auto& id : host.flows.new_exceptions.take(exceptions_by_message)) {
+        const auto index = host.flows.owned.peek(id);
+        const auto* to = next_owner(*context.view, *buckets, id);
+        if (index != 0 && to != nullptr) {
+            state.exceptions.emplace_back(to->name, flow_exception{id.high, index});
+        }
+    }
+}
+
+// Sends up to `most` exceptions of the list, grouped by receiver.
+auto send_exceptions(const peer_channel& channel, const host_view& view, std::size_t most, timer_state& state)
+    -> void {
+    auto by_host = std::map<std::string, bytes>{};
+    const auto flush = [&](const std::string& name, bytes& items) {
+        if (const auto* to = find_host(view, name)) {
+            channel.send_reliable(*to, exceptions_type, json{{"e", json::binary(items)}});
+            count(counter::flow_exceptions_sent, items.size() / 9);
+        }
+        items.clear();
+    };
+    for (auto sent = std::size_t{0}; sent < most && !state.exceptions.empty(); ++sent) {
+        const auto& [name, one] = state.exceptions.front();
+        auto& items = by_host[name];
+        const auto at = items.size();
+        items.resize(at + 9);
+        store_u32(&items[at], static_cast<std::uint32_t>(one.id_high >> 32U));
+        store_u32(&items[at + 4], static_cast<std::uint32_t>(one.id_high));
+        items[at + 8] = one.target;
+        if (items.size() >= exceptions_by_message * 9) {
+            flush(name, items);
+        }
+        state.exceptions.pop_front();
+    }
+    for (auto& [name, items] : by_host) {
+        if (!items.empty()) {
+            flush(name, items);
+        }
+    }
+    if (!state.exceptions.empty()) {
+        count(counter::flow_exceptions_deferred);
+    }
+}
+
+// Searches one shard at a time after each change of the view or configuration.
+auto search_exceptions(host_state& host, const forward_context& context, timer_state& state) -> void {
+    if (context.view->version != state.exceptions_version ||
+        context.config->revision != state.exceptions_revision) {
+        state.exceptions_version = context.view->version;
+        state.exceptions_revision = context.config->revision;
+        state.exceptions_shard = 0;
+        state.exceptions.clear();  // receivers may have changed
+    }
+    if (state.exceptions_shard < flow_table::shard_total) {
+        search_shard(host, context, state.exceptions_shard++, state);
+    }
+}
+
+auto ask_about_suspects(host_state& host, const peer_channel& channel, const forward_context& context)
+    -> void {
+    const auto names = other_hosts(*context.view);
+    auto by_pool = std::map<std::string, std::vector<silent_suspect>>{};
+    for (auto& suspect : host.flows.suspects.take_queries(names, queries_by_pause, context.at)) {
+        by_pool[suspect.pool].push_back(std::move(suspect));
+    }
+    for (const auto& [pool, suspects] : by_pool) {
+        for (const auto& name : names) {
+            auto items = bytes{};
+            for (const auto& suspect : suspects) {
+                if (suspect.waiting.count(name) == 0) {
+                    continue;
+                }
+                append_id(items, suspect.id);
+                items.push_back(suspect.index);
+                const auto at = items.size();
+                items.resize(at + 4);
+                store_u32(&items[at], static_cast<std::uint32_t>(context.at - suspect.since));
+            }
+            const auto* to = find_host(*context.view, name);
+            if (!items.empty() && to != nullptr) {
+                channel.send(*to, query_type, json{{"p", pool}, {"q", json::binary(items)}});
+            }
+        }
+    }
+}
+
+auto reset_silent(host_state& host, const forward_context& context, timer_state& state) -> void {
+    auto sink = packet_sink{};
+    for (const auto& suspect : host.flows.suspects.take_silent(other_hosts(*context.view), context.at)) {
+        host.flows.notes.clear_unanswered(suspect.id);
+        const auto chooser = host.flows.choosers.find(suspect.pool);
+        const auto is_answered =
+            host.flows.notes.has_answer_within(suspect.id, context.at - suspect.since, context.at);
+        if (is_answered || (chooser != nullptr && !chooser->answers_opens(suspect.index, context.at))) {
+            count(counter::silent_cleared);
+            continue;
+        }
+        count(counter::silent_reset);
+        reset_silent_flow(context, suspect, sink);
+        if (context.at - state.logged_silent >= silent_log_pause_ms) {
+            state.logged_silent = context.at;
+            write_log(log_event::silent_flow_reset,
+                      {{"client", to_text(suspect.key.client)},
+                       {"service", to_text(suspect.key.service)},
+                       {"target", to_text(suspect.target)},
+                       {"silent_ms", std::to_string(context.at - suspect.since)}});
+        }
+    }
+    give_to_workers(host, sink);
+}
+
+auto run_timers(host_state& host, const peer_channel& channel) -> void {
+    auto state = timer_state{};
+    auto next_message = now();
+    auto next_expiry = now();
+    while (!host.is_done) {
+        const auto config = host.config.load();
+        const auto view = host.view.load();
+        const auto context = context_of(host, *config, *view, now());
+        if (host.placement->carries_target) {
+            retry_opens(host, context);
+            search_exceptions(host, context, state);
+            if (context.at >= next_expiry) {
+                constexpr std::int64_t expiry_pause_ms = 100;
+                next_expiry = context.at + expiry_pause_ms;
+                host.flows.owned.expire(context.at);
+                update_roles(host, channel, context, state);
+            }
+            if (context.at >= next_message) {
+                next_message = context.at + message_pause_ms;
+                send_pool_counts(host, channel, context);
+                send_owner_counts(host, channel, context);
+                send_activities(host, channel, context);
+                add_new_exceptions(host, context, state);
+                send_exceptions(channel, *view, exceptions_by_pause, state);
+                ask_about_suspects(host, channel, context);
+                reset_silent(host, context, state);
+            }
+        }
+        std::this_thread::sleep_for(tick);
+    }
+}
+
+}  // namespace
+
+auto register_flow_messages(host_state& host, const peer_channel& channel) -> void {
+    channel.subscribe(counts_type, [&](const std::string&, const json& body) { on_counts(host, body); });
+    channel.subscribe(owner_counts_type, [&](const std::string& sender, const json& body) {
+        on_owner_counts(host, sender, body);
+    });
+    channel.subscribe(activity_type, [&](const std::string&, const json& body) { on_activity(host, body); });
+    channel.subscribe(exceptions_type,
+                      [&](const std::string&, const json& body) { on_exceptions(host, body); });
+    channel.subscribe(query_type, [&](const std::string& sender, const json& body) {
+        on_query(host, channel, sender, body);
+    });
+    channel.subscribe(answer_type,
+                      [&](const std::string& sender, const json& body) { on_answer(host, sender, body); });
+}
+
+auto start_flow_timers(host_state& host, const peer_channel& channel) -> std::thread {
+    return std::thread([&host, &channel] { run_timers(host, channel); });
+}
+
+auto hand_over_flows(host_state& host, const peer_channel& channel) -> void {
+    const auto config = host.config.load();
+    const auto view = host.view.load();
+    const auto context = context_of(host, *config, *view, now());
+    for (const auto& [pool, chooser] : host.flows.choosers.all()) {
+        if (const auto* next = next_chooser(*view, pool)) {
+            send_counts(*next, pool, chooser->counts(), counts_use::replace, channel);
+            write_log(log_event::chooser_handed_over, {{"pool", pool}, {"to", next->name}});
+        }
+    }
+    auto state = timer_state{};
+    for (auto shard = std::size_t{0}; shard < flow_table::shard_total; ++shard) {
+        search_shard(host, context, shard, state);
+    }
+    send_exceptions(channel, *view, state.exceptions.size(), state);
+}
+
+}  // namespace agatepost
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -6,6 +6,7 @@
 #include "config/snapshot_type.h"
 #include "core/published_base.h"
 #include "core/settings_func.h"
+#include "flow/flow_state_base.h"
 #include "flow/placement_base.h"
 #include "net/link_base.h"
 #include "peer/host_view_type.h"
@@ -14,13 +15,14 @@
 
 // Shared state of a host. Modules read the published values; each has one writer, named behind it.
 struct host_state {
-    explicit host_state(settings values) : options(std::move(values)) {}
+    explicit host_state(settings values) : options(std::move(values)), flows(options.text("zone")) {}
 
     const settings options;
     const link_plugin* link = nullptr;
     const placement_plugin* placement = nullptr;
     published<snapshot> config;                   // written by the configuration feed
     published<host_view> view;                    // written by membership
+    flow_state flows;                             // thread-safe; written by workers, timers and messages
     std::atomic<bool> is_stopping{false};         // a graceful stop was asked for
     std::atomic<bool> is_done{false};             // all threads must end
     std::atomic<std::int64_t> last_packet_ms{0};  // when a packet was last received
--- a/src/host/worker.cpp
+++ b/src/host/worker.cpp
@@ -6,7 +6,20 @@
 
 namespace {
 
-constexpr int poll_limit_ms = 100;  // bounds how long a stopped host waits for its workers
+// Bounds how long a packet built by a timer waits for a worker when no packets arrive.
+constexpr int poll_limit_ms = 10;
+constexpr std::size_t pending_batch = 64;
+
+// Adds the packets that timers and message handlers have built.
+auto take_pending(host_state& host, packet_sink& sink) -> void {
+    for (const auto& packet : host.flows.outgoing.take(pending_batch)) {
+        if (packet.relay == relay_reason::none) {
+            sink.copy_to_fabric(packet.data.data(), packet.data.size());
+        } else {
+            sink.copy_to_host(packet.host, packet.relay, packet.data.data(), packet.data.size());
+        }
+    }
+}
 
 // Receives batches and forwards them until the host is done.
 auto run_worker(host_state& host, link_port& port) -> void {
@@ -16,18 +29,21 @@
         received.clear();
         sink.clear();
         host.link->receive_some(port, poll_limit_ms, received);
-        if (received.empty()) {
-            continue;
+        take_pending(host, sink);
+        if (!received.empty()) {
+            const auto at = now();
+            host.last_packet_ms = at.value;
+            const auto config = host.config.load();
+            const auto view = host.view.load();
+            const auto context =
+                forward_context{config.get(), view.get(), host.placement, host.flows.zone, &host.flows, at};
+            for (const auto& packet : received) {
+                forward_packet(context, packet, sink);
+            }
         }
-        host.last_packet_ms = now().value;
-        const auto config = host.config.load();
-        const auto view = host.view.load();
-        const auto context =
-            forward_context{config.get(), view.get(), host.placement, host.options.text("zone")};
-        for (const auto& packet : received) {
-            forward_packet(context, packet, sink);
+        if (!sink.packets().empty()) {
+            host.link->send_all(port, sink.packets());
         }
-        host.link->send_all(port, sink.packets());
     }
 }
 
