--- a/src/flow/chooser.cpp
+++ b/src/flow/chooser.cpp
@@ -37,6 +37,8 @@
 constexpr double report_bound_share = 0.2;
 // The influence of a report falls to zero over this time.
 constexpr std::int64_t report_age_ms = 2000;
+// A verdict of unreachable is dropped when no probe confirms it: the probing host may be gone itself.
+constexpr std::int64_t unreachable_age_ms = 10000;
 // Share of the inherited count that one lower report can remove; at least one flow.
 constexpr std::uint32_t inherited_step_divisor = 10;
 constexpr double slow_start_share = 0.1;
@@ -158,7 +160,7 @@
 }
 
 auto pool_chooser::is_bad(const slot& s, time_ms at) const -> bool {
-    return s.is_unreachable || at < s.passed_over_until;
+    return (s.is_unreachable && at - s.reported_at < unreachable_age_ms) || at < s.passed_over_until;
 }
 
 auto pool_chooser::are_marks_ignored(time_ms at) const -> bool {
@@ -397,6 +399,7 @@
 
 auto pool_chooser::next_target(entry& e, half_open& pending, counter reason, time_ms at) -> std::uint8_t {
     if (pending.tried.size() >= tried_limit) {
+        count(counter::retry_limit_reached);
         return 0;
     }
     if (retry_tokens_ < 1) {
@@ -652,12 +655,12 @@
         s.cold_since = at;
     }
     s.is_unreachable = !is_reachable;
+    s.reported_at = at;
+    s.is_reported = is_reachable;
     if (!is_reachable) {
         return;
     }
     s.reported = {slots_busy, connections};
-    s.reported_at = at;
-    s.is_reported = true;
     for (auto kind = std::size_t{0}; kind < s.inherited.size(); ++kind) {
         auto& inherited = s.inherited[kind];
         const auto used = used_of(s, kind);
--- a/src/flow/flow_table.cpp
+++ b/src/flow/flow_table.cpp
@@ -75,13 +75,18 @@
 }
 
 auto owner_buckets::of_view(const host_view& view, time_ms at) -> std::shared_ptr<const bucket_table> {
+    // The first view may have version 0, as the empty table has.
+    const auto is_newer = [&](const bucket_table& table) {
+        return view.version > table.version ||
+               (view.version == table.version && table.hosts.empty() && !view.hosts.empty());
+    };
     auto current = std::atomic_load(&current_);
-    if (view.version <= current->version) {
+    if (!is_newer(*current)) {
         return current;
     }
     const auto lock = std::lock_guard(rebuild_);
     current = std::atomic_load(&current_);
-    if (view.version <= current->version) {
+    if (!is_newer(*current)) {
         return current;
     }
     auto next = build_buckets(view);
--- a/src/host/forward.cpp
+++ b/src/host/forward.cpp
@@ -222,6 +222,35 @@
     }
 }
 
+// Notes a packet of a flow for the search for silent flows, and tells the chooser of activity now and then.
+auto note_forward(const forward_context& context, const snapshot_service& found, const target& chosen,
+                  const packet_in& packet) -> void {
+    const auto& headers = packet.headers;
+    const auto id = forward_id(found, headers);
+    const auto calls_for_answer = headers.size > headers.payload_offset || headers.has_flags(tcp_flag::fin);
+    auto& flows = *context.flows;
+    const auto noted =
+        flows.notes.note_forward(id, headers.tcp_sequence, calls_for_answer, found.rules.silence_timeout_ms,
+                                 found.rules.idle_timeout_ms / 2, context.at);
+    const auto& pool = context.config->pools[found.pool];
+    if (noted.is_activity_due && headers.has_timestamp() &&
+        flows.activities.push({id, chosen.index, pool.name, found.rules.name})) {
+        flows.notes.note_activity_sent(id, context.at);
+    }
+    if (noted.is_suspect) {
+        auto suspect = silent_suspect{};
+        suspect.id = id;
+        suspect.key = flow_key{headers.source, found.object.address, found.object.protocol};
+        suspect.target = endpoint{chosen.address, found.object.target_port};
+        suspect.index = chosen.index;
+        suspect.pool = pool.name;
+        suspect.sequence = headers.tcp_sequence;
+        suspect.acknowledgment = headers.tcp_acknowledgment;
+        suspect.since = context.at + -noted.unanswered_ms;
+        flows.suspects.add(suspect);
+    }
+}
+
 // As the previous owner: an entry or exception if there is one, else the pure pick, and no new entry.
 auto previous_owner_here(const forward_context& context, const snapshot_service& found,
                          const packet_in& packet, packet_sink& sink) -> void {
@@ -275,6 +304,8 @@
     }
     if (is_close(headers)) {
         owned.close(id, flow_end::client, is_reset(headers), context.at);
+    } else if (is_tcp(headers)) {
+        note_forward(context, found, *chosen, packet);
     }
     send_to_target(context, found, *chosen, packet, sink);
 }
@@ -306,35 +337,6 @@
     return_to_client(context, entry, packet, sink);
 }
 
-// Notes a packet of a flow for the search for silent flows, and tells the chooser of activity now and then.
-auto note_forward(const forward_context& context, const snapshot_service& found, const target& chosen,
-                  const packet_in& packet) -> void {
-    const auto& headers = packet.headers;
-    const auto id = forward_id(found, headers);
-    const auto calls_for_answer = headers.size > headers.payload_offset || headers.has_flags(tcp_flag::fin);
-    auto& flows = *context.flows;
-    const auto noted =
-        flows.notes.note_forward(id, headers.tcp_sequence, calls_for_answer, found.rules.silence_timeout_ms,
-                                 found.rules.idle_timeout_ms / 2, context.at);
-    const auto& pool = context.config->pools[found.pool];
-    if (noted.is_activity_due && headers.has_timestamp() &&
-        flows.activities.push({id, chosen.index, pool.name, found.rules.name})) {
-        flows.notes.note_activity_sent(id, context.at);
-    }
-    if (noted.is_suspect) {
-        auto suspect = silent_suspect{};
-        suspect.id = id;
-        suspect.key = flow_key{headers.source, found.object.address, found.object.protocol};
-        suspect.target = endpoint{chosen.address, found.object.target_port};
-        suspect.index = chosen.index;
-        suspect.pool = pool.name;
-        suspect.sequence = headers.tcp_sequence;
-        suspect.acknowledgment = headers.tcp_acknowledgment;
-        suspect.since = context.at + -noted.unanswered_ms;
-        flows.suspects.add(suspect);
-    }
-}
-
 // A packet whose timestamp echo carries the index of its target. Needs no lookup.
 auto forward_by_index(const forward_context& context, const snapshot_service& found, const packet_in& packet,
                       packet_sink& sink) -> void {
@@ -388,6 +390,17 @@
     }
 }
 
+// Ends the owner's entry, if there is one, of a flow whose SYN was refused. The chooser gets the refusal
+// itself.
+auto close_at_owner(const forward_context& context, const flow_id& id, const packet_in& packet,
+                    packet_sink& sink) -> void {
+    if (const auto* owner = other_owner(context, id)) {
+        relay_copy(*owner, relay_reason::owner, copy_headers(packet.data, packet.headers), sink);
+    } else {
+        context.flows->owned.close(id, flow_end::target, true, context.at);
+    }
+}
+
 auto forward_to_client(const forward_context& context, const reverse_entry& entry, const packet_in& packet,
                        packet_sink& sink) -> void {
     const auto& headers = packet.headers;
@@ -407,6 +420,9 @@
         }
         return;
     }
+    if (is_refusing_reset(headers)) {
+        close_at_owner(context, id, packet, sink);
+    }
     if (headers.is_syn_ack() || is_refusing_reset(headers)) {
         if (const auto* chooser = other_chooser(context, found)) {
             relay(*chooser, relay_reason::answer, packet, sink);
@@ -576,6 +592,9 @@
         owner_here(context, *found, packet, sink);
     } else if (reason == relay_reason::owner && is_reverse && is_tcp(headers) && headers.is_syn_ack()) {
         owner_answer_here(context, reverse->second, packet, sink);
+    } else if (reason == relay_reason::owner && is_reverse && is_reset(headers)) {
+        const auto& service = config.services[reverse->second.service];
+        context.flows->owned.close(reverse_id(service, headers), flow_end::target, true, context.at);
     } else if (reason == relay_reason::previous_owner && found != nullptr) {
         previous_owner_here(context, *found, packet, sink);
     } else {
--- a/src/host/forward_messages.cpp
+++ b/src/host/forward_messages.cpp
@@ -39,6 +39,7 @@
 // 50 exceptions of 9 bytes every 250 ms are 1.8 KB/s.
 constexpr std::size_t exceptions_by_pause = 50;
 constexpr std::size_t exceptions_by_message = 256;
+constexpr std::size_t exceptions_waiting_max = 4096;
 // A host that lost the role goes on handling what late hosts relay to it.
 constexpr std::int64_t lost_role_grace_ms = 2000;
 constexpr std::int64_t silent_log_pause_ms = 1000;
@@ -296,9 +297,12 @@
 struct timer_state {
     std::map<std::string, time_ms> lost_roles;  // pools whose chooser moved away, and when
     std::set<std::string> has_role;             // pools this host is the chooser of
-    std::uint64_t exceptions_version = 0;       // view and configuration of the last search
+    std::uint64_t roles_version = 0;            // view and configuration that the roles are of
+    std::uint64_t roles_revision = 0;
+    std::uint64_t exceptions_version = 0;  // view and configuration of the last search
     std::uint64_t exceptions_revision = 0;
-    std::size_t exceptions_shard = flow_table::shard_total;         // next one to search; the total: none
+    std::size_t exceptions_shard = 0;                               // next one to search
+    std::size_t exceptions_left = 0;                                // shards still to search
     std::deque<std::pair<std::string, flow_exception>> exceptions;  // to send, with the receiver's name
     time_ms logged_silent;
 };
@@ -329,27 +333,39 @@
     give_to_workers(host, sink);
 }
 
-// Takes up and gives up the role of chooser as the view says.
+// Starts the choosers that the view gives to this host.
+auto take_up_roles(host_state& host, const forward_context& context, timer_state& state) -> void {
+    for (auto i = std::size_t{0}; i < context.config->pools.size(); ++i) {
+        const auto& pool = context.config->pools[i].name;
+        const auto* first = host_of_rank(*context.view, stable_hash(pool), 0);
+        if (first == nullptr || first->name != context.view->self) {
+            continue;
+        }
+        if (state.has_role.insert(pool).second) {
+            write_log(log_event::chooser_started, {{"pool", pool}});
+        }
+        chooser_of(host.flows, *context.config, static_cast<std::uint32_t>(i), context.at);
+    }
+}
+
+// Takes up and gives up the role of chooser as the view says. The pools are gone through only after a change;
+// a chooser without the role exists only if a host with an older view relayed to this one.
 auto update_roles(host_state& host, const peer_channel& channel, const forward_context& context,
                   timer_state& state) -> void {
     const auto& view = *context.view;
     if (view.hosts.empty()) {
         return;
     }
-    for (auto i = std::size_t{0}; i < context.config->pools.size(); ++i) {
-        const auto& pool = context.config->pools[i].name;
+    if (view.version != state.roles_version || context.config->revision != state.roles_revision) {
+        state.roles_version = view.version;
+        state.roles_revision = context.config->revision;
+        take_up_roles(host, context, state);
+    }
+    for (const auto& [pool, chooser] : host.flows.choosers.all()) {
         const auto* first = host_of_rank(view, stable_hash(pool), 0);
-        if (first != nullptr && first->name == view.self) {
+        if (first->name == view.self) {
             state.lost_roles.erase(pool);
-            if (state.has_role.insert(pool).second) {
-                write_log(log_event::chooser_started, {{"pool", pool}});
-            }
-            chooser_of(host.flows, *context.config, static_cast<std::uint32_t>(i), context.at);
-            continue;
-        }
-        const auto chooser = host.flows.choosers.find(pool);
-        if (chooser == nullptr || first == nullptr) {
-            state.has_role.erase(pool);
+            state.has_role.insert(pool);
             continue;
         }
         const auto [lost, is_new] = state.lost_roles.emplace(pool, context.at);
@@ -382,6 +398,9 @@
     const auto& view = *context.view;
     for (const auto& pool : context.config->pools) {
         const auto held = host.flows.owned.counts(pool.name);
+        if (held.empty()) {
+            continue;  // the chooser drops earlier counts by their age
+        }
         const auto* chooser = host_of_rank(view, stable_hash(pool.name), 0);
         if (chooser == nullptr || chooser->name == view.self) {
             if (const auto own = host.flows.choosers.find(pool.name)) {
@@ -389,9 +408,6 @@
             }
             continue;
         }
-        if (held.empty()) {
-            continue;  // the chooser drops old counts by their age
-        }
         auto list = json::array();
         for (const auto& [index, counts] : held) {
             append_counts(list, index, counts);
@@ -430,24 +446,20 @@
     }
 }
 
-// Returns the pure pick of an owned flow, or nullptr.
-auto pure_pick_of(const snapshot& config, const std::string& zone, const owned_flow& flow) -> const target* {
-    for (const auto& pool : config.pools) {
-        if (static_cast<std::uint32_t>(stable_hash(pool.name)) == flow.pool_hash) {
-            return pure_pick(pool, zone, flow.id);
-        }
-    }
-    return nullptr;
-}
-
 // Finds the exceptions of one shard and their receivers: the owner if it is another host, else the bucket's
 // second-ranked host. Exceptions kept for others' flows go only to a new owner.
 auto search_shard(host_state& host, const forward_context& context, std::size_t shard, timer_state& state)
     -> void {
     const auto& view = *context.view;
     const auto buckets = host.flows.buckets.of_view(view, context.at);
+    auto pools = absl::flat_hash_map<std::uint32_t, const snapshot_pool*>{};
+    for (const auto& pool : context.config->pools) {
+        pools.emplace(static_cast<std::uint32_t>(stable_hash(pool.name)), &pool);
+    }
     for (const auto& flow : host.flows.owned.flows_of_shard(shard)) {
-        const auto* picked = pure_pick_of(*context.config, host.flows.zone, flow);
+        const auto pool = pools.find(flow.pool_hash);
+        const auto* picked =
+            pool == pools.end() ? nullptr : pure_pick(*pool->second, host.flows.zone, flow.id);
         const auto* to = next_owner(view, *buckets, flow.id);
         if (to != nullptr && (picked == nullptr || picked->index != flow.target)) {
             state.exceptions.emplace_back(to->name, flow_exception{flow.id.high, flow.target});
@@ -506,17 +518,23 @@
     }
 }
 
-// Searches one shard at a time after each change of the view or configuration.
+// Searches one shard at a time after each change of the view or configuration. A search goes on from the
+// last shard, so that frequent changes do not keep it at the first ones; it pauses while much waits to be
+// sent.
 auto search_exceptions(host_state& host, const forward_context& context, timer_state& state) -> void {
+    if (context.view->version != state.exceptions_version) {
+        state.exceptions.clear();  // receivers may have changed
+    }
     if (context.view->version != state.exceptions_version ||
         context.config->revision != state.exceptions_revision) {
         state.exceptions_version = context.view->version;
         state.exceptions_revision = context.config->revision;
-        state.exceptions_shard = 0;
-        state.exceptions.clear();  // receivers may have changed
+        state.exceptions_left = flow_table::shard_total;
     }
-    if (state.exceptions_shard < flow_table::shard_total) {
-        search_shard(host, context, state.exceptions_shard++, state);
+    if (state.exceptions_left > 0 && state.exceptions.size() < exceptions_waiting_max) {
+        search_shard(host, context, state.exceptions_shard, state);
+        state.exceptions_shard = (state.exceptions_shard + 1) % flow_table::shard_total;
+        --state.exceptions_left;
     }
 }
 
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -1,4 +1,7 @@
 #include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <random>
 
 #include "flow_test_func.h"
 #include "net/byte_order_func.h"
@@ -53,6 +56,18 @@
     return packet;
 }
 
+auto test_seed() -> unsigned {
+    // main.cpp passes --seed=N on in this variable.
+    const auto* given = std::getenv("RC_PARAMS");
+    const auto text = std::string(given == nullptr ? "" : given);
+    const auto at_value = text.find("seed=");
+    const auto seed = at_value == std::string::npos
+                          ? std::random_device{}()
+                          : static_cast<unsigned>(std::stoull(text.substr(at_value + 5)));
+    std::cout << " seed=" << seed;
+    return seed;
+}
+
 test_zone::test_zone(int hosts, snapshot_ptr initial) : config(std::move(initial)), alive_(hosts, true) {
     for (auto i = 0; i < hosts; ++i) {
         flows.push_back(std::make_unique<flow_state>("z"));
--- a/tests/flow_test_func.h
+++ b/tests/flow_test_func.h
@@ -67,6 +67,9 @@
     std::size_t payload = 0;
 };
 
+// Returns the seed given by --seed, or a random one, and prints it. For random tests outside rapidcheck.
+auto test_seed() -> unsigned;
+
 // Builds an IPv4 TCP or UDP packet with valid checksums.
 auto make_tcp(const endpoint& source, const endpoint& destination, const tcp_options& options)
     -> std::vector<std::uint8_t>;
