Feature: [peer] SWIM membership, authenticated datagrams and websocket links

Cause: hosts did not know of each other; the view was always empty.

Change: membership by SWIM over UDP with CBOR and a keyed BLAKE2b code of 16 bytes over receiver, time, sequence and payload; a datagram is accepted once and within 10 s of its time. Links between hosts are websocketpp connections with one thread and one event loop each; a code covers both nonces, the direction and the number of each frame. peer_node joins them and implements peer_channel.

--- /dev/null
+++ b/src/peer/datagram_base.h
@@ -0,0 +1,43 @@
+// Authenticated CBOR datagrams on the host's peer address.
+#pragma once
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "net/socket_func.h"
+#include "peer/peer_mac_func.h"
+
+namespace agatepost {
+
+// Largest encoded message, without header and code: fits the smallest usual path MTU.
+constexpr std::size_t datagram_limit = 1200;
+
+// A received message and the address it came from.
+struct received_datagram {
+    endpoint from;
+    nlohmann::json message;
+};
+
+// The UDP socket of the peer address. send is thread-safe; receive is for one thread.
+class datagram_socket {
+public:
+    // `is_blocked` is for tests of partitions: datagrams to and from such addresses are dropped.
+    datagram_socket(file_descriptor socket, const endpoint& local, const peer_keys& keys,
+                    std::function<bool(const endpoint& peer)> is_blocked);
+
+    // Encodes and sends. A message over datagram_limit or one that the socket does not take is counted and
+    // dropped.
+    auto send(const endpoint& to, const nlohmann::json& message) -> void;
+
+    // Waits up to `timeout_ms` for a message. Empty when none came or it was dropped.
+    auto receive(int timeout_ms) -> std::optional<received_datagram>;
+
+private:
+    file_descriptor socket_;
+    peer_keys keys_;
+    datagram_checker checker_;
+    std::function<bool(const endpoint& peer)> is_blocked_;
+};
+
+}  // namespace agatepost
--- /dev/null
+++ b/src/peer/membership_base.h
@@ -0,0 +1,173 @@
+// Membership of the zone by SWIM: pings, indirect pings, suspicion, and updates carried by these messages.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/clock_type.h"
+#include "core/published_base.h"
+#include "peer/host_view_type.h"
+
+namespace agatepost {
+
+// What is known of a host. Of two statements with the same incarnation the later in this order holds.
+enum class member_state : std::uint8_t {
+    live,     // answers
+    suspect,  // did not answer; dead unless it refutes
+    leaving,  // stops gracefully
+    dead,     // did not refute
+};
+
+// A statement about a host, as carried by messages.
+struct member_update {
+    host_record host;
+    member_state state = member_state::live;
+
+    friend auto operator==(const member_update& a, const member_update& b) -> bool {
+        return a.host == b.host && a.state == b.state;
+    }
+};
+
+// An entry of the platform's list of hosts.
+struct platform_host {
+    std::string name;
+    std::string zone;
+    endpoint peer;
+    bool is_leaving = false;
+
+    friend auto operator==(const platform_host& a, const platform_host& b) -> bool {
+        return a.name == b.name && a.zone == b.zone && a.peer == b.peer && a.is_leaving == b.is_leaving;
+    }
+};
+
+// What a host starts with.
+struct membership_options {
+    host_record self;
+    std::vector<endpoint> seeds;
+    std::uint32_t random_seed = 0;
+};
+
+// Sends one message to a peer address; it may be lost.
+using send_function = std::function<void(const endpoint& to, const nlohmann::json& message)>;
+
+// One host's knowledge of others. Thread-safe; `send` is called with the lock held and must not call back.
+class membership {
+public:
+    membership(membership_options options, published<host_view>& view, send_function send);
+
+    // Takes a received message. Throws nlohmann::json::exception if it is malformed.
+    auto on_message(const endpoint& from, const nlohmann::json& message) -> void;
+
+    // Does what is due: pings, suspicions, forgetting. To be called every few tens of milliseconds.
+    auto run_due(time_ms at) -> void;
+
+    // Announces that this host leaves: at once to several peers, then with each message.
+    auto announce_leaving() -> void;
+
+    // Takes the platform's list, which is used only as a source of addresses.
+    auto add_platform_hosts(const std::vector<platform_host>& hosts) -> void;
+
+    // Known hosts of other zones, a few of each.
+    auto contacts() const -> std::vector<host_record>;
+
+    // Finds a live host of the own zone or a contact by name.
+    auto find(const std::string& name) const -> std::optional<host_record>;
+
+    // Returns whether any other host has ever answered.
+    auto has_met_peers() const -> bool;
+
+private:
+    struct member {
+        host_record host;
+        member_state state = member_state::live;
+        time_ms since;      // when the state was set
+        time_ms last_tell;  // when it was last told that it is believed dead
+    };
+    struct queued_update {
+        member_update update;
+        int sent = 0;
+    };
+    struct contact {
+        host_record host;
+        int missed = 0;  // pings since the last answer
+    };
+    struct owed_ping {
+        std::uint64_t sequence = 0;
+        std::string name;
+        time_ms sent;
+        bool is_indirect = false;  // others were asked to ping
+        bool is_answered = false;
+    };
+    struct relayed_ping {
+        endpoint requester;
+        std::uint64_t sequence = 0;
+        time_ms sent;
+    };
+
+    auto apply(const member_update& update, time_ms at) -> bool;
+    auto apply_about_self(const member_update& update) -> void;
+    auto apply_contact(const member_update& update) -> void;
+    auto raise_incarnation() -> void;
+    auto set_state(member& who, member_state state, time_ms at) -> void;
+    auto enqueue(const member_update& update) -> void;
+    auto publish() -> void;
+    auto digest() const -> std::uint64_t;
+    auto self_update() const -> member_update;
+    auto message_of(std::string_view type, std::uint64_t sequence) const -> nlohmann::json;
+    auto send_with_updates(const endpoint& to, nlohmann::json message, const member* about) -> void;
+    auto send_ping(const endpoint& to, std::uint64_t sequence, const member* about) -> void;
+    auto send_records(const endpoint& to, bool is_complete) -> void;
+    auto note_sender(const endpoint& from, const nlohmann::json& message, const member_update& sender,
+                     time_ms at) -> void;
+    auto note_digest(const endpoint& from, std::uint64_t received, time_ms at) -> void;
+    auto resume_after_pause(time_ms at) -> void;
+    auto run_round(time_ms at) -> void;
+    auto settle_owed_ping(time_ms at) -> void;
+    auto ping_next_member(time_ms at) -> void;
+    auto ping_indirectly() -> void;
+    auto expire(time_ms at) -> void;
+    auto ping_lost_address() -> void;
+    auto ping_contact() -> void;
+    auto spread_leaving() -> void;
+    auto random_members(std::size_t count, const std::string& except) -> std::vector<const member*>;
+    auto own_zone_total() const -> std::size_t;
+
+    mutable std::mutex mutex_;
+    membership_options options_;
+    published<host_view>& view_;
+    send_function send_;
+    std::mt19937 random_;
+    bool is_leaving_ = false;
+    bool is_joined_ = false;
+    int leaving_rounds_ = 0;
+    std::map<std::string, member> members_;                        // own zone, without the host itself
+    std::map<std::string, std::map<std::string, contact>> zones_;  // other zones' contacts
+    std::vector<std::string> order_;                               // names still to ping in this pass
+    std::deque<queued_update> updates_;
+    std::map<std::uint64_t, relayed_ping> relayed_;
+    std::vector<endpoint> addresses_;  // seeds and the platform's list
+    std::size_t next_address_ = 0;
+    std::size_t next_contact_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t rounds_ = 0;
+    owed_ping owed_;
+    time_ms last_round_;
+    time_ms last_run_;
+    time_ms mismatch_since_;  // 0: digests agreed last time
+    time_ms last_sync_;
+};
+
+// Encodes a statement for a message.
+auto to_json(const member_update& update) -> nlohmann::json;
+
+// Decodes a statement. Throws nlohmann::json::exception if it is malformed.
+auto parse_member_update(const nlohmann::json& document) -> member_update;
+
+}  // namespace agatepost
--- /dev/null
+++ b/src/peer/peer_node.cpp
@@ -0,0 +1,156 @@
+#include <chrono>
+#include <random>
+
+#include "core/log_func.h"
+#include "flow/hash_func.h"
+#include "peer/peer_node_base.h"
+
+namespace agatepost {
+
+namespace {
+
+constexpr int receive_limit_ms = 100;
+constexpr auto timer_step = std::chrono::milliseconds(25);
+constexpr std::string_view user_message = "msg";  // datagrams of other modules; the rest are membership's
+
+}  // namespace
+
+auto read_peer_node_options(const settings& options) -> result<peer_node_options> {
+    auto node = peer_node_options{};
+    auto keys = read_peer_keys(options);
+    if (!keys) {
+        return tl::unexpected<error>(keys.error());
+    }
+    node.keys = std::move(*keys);
+    auto& self = node.member.self;
+    self.name = options.text("name");
+    self.zone = options.text("zone");
+    self.data = options.address("data-address");
+    self.peer = options.address("peer-address");
+    self.name_hash = stable_hash(self.name);
+    self.incarnation = static_cast<std::uint64_t>(wall_clock_ms());
+    for (const auto& text : options.list("peers")) {
+        const auto seed = parse_endpoint(text);
+        if (!seed) {
+            return make_error(error_kind::invalid_setting, "--peers: " + seed.error().message,
+                              seed.error().remedy);
+        }
+        node.member.seeds.push_back(*seed);
+    }
+    node.member.random_seed = std::random_device{}();
+    return node;
+}
+
+auto peer_node::open(peer_node_options options, published<host_view>& view)
+    -> result<std::unique_ptr<peer_node>> {
+    auto socket = open_udp_socket(options.member.self.peer, false);
+    if (!socket) {
+        return tl::unexpected<error>(socket.error());
+    }
+    return std::unique_ptr<peer_node>(new peer_node(std::move(options), std::move(*socket), view));
+}
+
+peer_node::peer_node(peer_node_options options, file_descriptor socket, published<host_view>& view)
+    : options_(std::move(options)),
+      socket_(std::move(socket), options_.member.self.peer, options_.keys, options_.is_blocked),
+      members_(options_.member, view,
+               [this](const endpoint& to, const nlohmann::json& message) { socket_.send(to, message); }),
+      links_(peer_link_options{options_.member.self, options_.keys,
+                               [this](const std::string& sender, const std::string& type,
+                                      const nlohmann::json& body) { dispatch(sender, type, body); },
+                               [this](const std::string& name) {
+                                   for (const auto& called : on_open_) {
+                                       called(name);
+                                   }
+                               },
+                               options_.is_blocked}) {
+    channel_.subscribe = [this](std::string_view type, peer_handler handler) {
+        handlers_[std::string(type)].push_back(std::move(handler));
+    };
+    channel_.send = [this](const host_record& to, std::string_view type, const nlohmann::json& body) {
+        socket_.send(to.peer, {{"t", std::string(user_message)},
+                               {"n", options_.member.self.name},
+                               {"y", std::string(type)},
+                               {"b", body}});
+    };
+    channel_.send_reliable = [this](const host_record& to, std::string_view type,
+                                    const nlohmann::json& body) {
+        if (to.name == options_.member.self.name) {
+            dispatch(to.name, std::string(type), body);
+            return;
+        }
+        links_.send(to, type, body);
+    };
+}
+
+peer_node::~peer_node() {
+    stop();
+}
+
+auto peer_node::start() -> result<void> {
+    if (options_.keys.accepted.empty()) {
+        write_log(log_event::messages_unauthenticated,
+                  {{"remedy", "set AGATEPOST_KEY to the same 64 hexadecimal digits on all hosts"}});
+    }
+    auto listening = links_.start();
+    if (!listening) {
+        return listening;
+    }
+    receiver_ = std::thread([this] { run_receiver(); });
+    timer_ = std::thread([this] { run_timer(); });
+    return {};
+}
+
+auto peer_node::stop() -> void {
+    is_done_ = true;
+    if (receiver_.joinable()) {
+        receiver_.join();
+    }
+    if (timer_.joinable()) {
+        timer_.join();
+    }
+    links_.stop();
+}
+
+auto peer_node::run_receiver() -> void {
+    while (!is_done_) {
+        const auto received = socket_.receive(receive_limit_ms);
+        if (!received) {
+            continue;
+        }
+        try {
+            if (received->message.at("t") == user_message) {
+                receive_message(received->message);
+            } else {
+                members_.on_message(received->from, received->message);
+            }
+        } catch (const nlohmann::json::exception&) {
+            count(counter::drop_peer_message);
+        }
+    }
+}
+
+auto peer_node::run_timer() -> void {
+    while (!is_done_) {
+        members_.run_due(now());
+        std::this_thread::sleep_for(timer_step);
+    }
+}
+
+auto peer_node::receive_message(const nlohmann::json& message) -> void {
+    dispatch(message.at("n").get<std::string>(), message.at("y").get<std::string>(), message.at("b"));
+}
+
+auto peer_node::dispatch(const std::string& sender, const std::string& type, const nlohmann::json& body)
+    -> void {
+    const auto found = handlers_.find(type);
+    if (found == handlers_.end()) {
+        count(counter::drop_peer_message);
+        return;
+    }
+    for (const auto& handler : found->second) {
+        handler(sender, body);
+    }
+}
+
+}  // namespace agatepost
