--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -2,13 +2,16 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 
 #include "config/snapshot_type.h"
 #include "core/published_base.h"
 #include "core/settings_func.h"
 #include "flow/placement_base.h"
+#include "health/probe_base.h"
 #include "net/link_base.h"
 #include "peer/host_view_type.h"
+#include "peer/peer_channel_base.h"
 
 namespace agatepost {
 
@@ -24,6 +27,13 @@
     std::atomic<bool> is_stopping{false};         // a graceful stop was asked for
     std::atomic<bool> is_done{false};             // all threads must end
     std::atomic<std::int64_t> last_packet_ms{0};  // when a packet was last received
+
+    // Messages to and from other hosts. Handlers are subscribed before the host starts.
+    const peer_channel* channel = nullptr;
+    // Set by the flow module before the host starts; empty functions are not called.
+    load_report_handler
+        apply_load_report;            // takes a verdict about a target of a pool that this host chooses for
+    std::function<void()> hand_over;  // gives counts and exceptions to others, after leaving was announced
 };
 
 }  // namespace agatepost
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -257,7 +257,7 @@
             payload.remove_suffix(mac_size);
             const auto position = position_of(!is_outgoing_, received_);
             if (!is_valid_mac(keys, {session_, position, payload}, mac)) {
-                reject(counter::drop_peer_mac);
+                reject(counter::peer_link_rejected);
                 return;
             }
         }
--- a/src/peer/peer_node.cpp
+++ b/src/peer/peer_node.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <random>
 
@@ -13,6 +14,16 @@
 constexpr auto timer_step = std::chrono::milliseconds(25);
 constexpr std::string_view user_message = "msg";  // datagrams of other modules; the rest are membership's
 
+constexpr std::size_t logged_names = 16;  // a zone's whole list would make lines of many kilobytes
+
+auto first_names(const host_view& view) -> std::string {
+    auto names = std::string();
+    for (auto i = std::size_t{0}; i < std::min(logged_names, view.hosts.size()); ++i) {
+        names += (i == 0 ? "" : ",") + view.hosts[i].name;
+    }
+    return names;
+}
+
 }  // namespace
 
 auto read_peer_node_options(const settings& options) -> result<peer_node_options> {
@@ -52,6 +63,7 @@
 
 peer_node::peer_node(peer_node_options options, file_descriptor socket, published<host_view>& view)
     : options_(std::move(options)),
+      view_(view),
       socket_(std::move(socket), options_.member.self.peer, options_.keys, options_.is_blocked),
       members_(options_.member, view,
                [this](const endpoint& to, const nlohmann::json& message) { socket_.send(to, message); }),
@@ -131,8 +143,17 @@
 }
 
 auto peer_node::run_timer() -> void {
+    auto logged = std::uint64_t{0};
     while (!is_done_) {
         members_.run_due(now());
+        const auto view = view_.load();
+        if (view->version != logged) {
+            logged = view->version;
+            write_log(log_event::view_changed, {{"host", view->self},
+                                                {"version", std::to_string(view->version)},
+                                                {"total", std::to_string(view->hosts.size())},
+                                                {"hosts", first_names(*view)}});
+        }
         std::this_thread::sleep_for(timer_step);
     }
 }
--- a/src/peer/peer_node_base.h
+++ b/src/peer/peer_node_base.h
@@ -59,6 +59,7 @@
     auto dispatch(const std::string& sender, const std::string& type, const nlohmann::json& body) -> void;
 
     peer_node_options options_;
+    const published<host_view>& view_;
     datagram_socket socket_;
     membership members_;
     std::map<std::string, std::vector<peer_handler>> handlers_;
