Feature: [host] Wire membership, mesh, probes and graceful stop into serve

Cause: serve ran alone, without other hosts. Change: serve opens the peer node, two hosts of a zone hold the store's watch, SIGTERM announces leaving before the flow module hands over.

--- a/src/cmd/serve_cmd.cpp
+++ b/src/cmd/serve_cmd.cpp
@@ -8,6 +8,7 @@
 
 #include "cmd/command_base.h"
 #include "core/clock_type.h"
+#include "core/counter_func.h"
 #include "core/log_func.h"
 #include "host/config_feed_func.h"
 #include "host/host_base.h"
@@ -55,6 +56,25 @@
     }
 }
 
+// Says what the host exchanged with others; capacity planning and tests read it.
+auto log_control_traffic(time_ms start) -> void {
+    write_log(log_event::control_traffic,
+              {{"sent", std::to_string(counter_value(counter::control_bytes_sent))},
+               {"received", std::to_string(counter_value(counter::control_bytes_received))},
+               {"ms", std::to_string(now() - start)}});
+}
+
+// The stop that other hosts can rely on: they hear of it first, then take over, and only then is it quiet.
+auto stop_gracefully(host_state& host, peer_node& node) -> void {
+    host.is_stopping = true;
+    write_log(log_event::host_stopping);
+    node.members().announce_leaving();
+    if (host.hand_over) {
+        host.hand_over();
+    }
+    wait_until_quiet(host);
+}
+
 auto serve(const std::vector<std::string>& arguments) -> result<void> {
     auto options = read_settings(arguments);
     if (!options) {
@@ -73,8 +93,27 @@
     if (!client) {
         return tl::unexpected<error>(client.error());
     }
+    const auto start = now();
     const auto signals = block_stop_signals();
-    auto feed = start_config_feed(host, std::move(*client));
+    auto node_options = read_peer_node_options(host.options);
+    if (!node_options) {
+        return tl::unexpected<error>(node_options.error());
+    }
+    auto node = peer_node::open(std::move(*node_options), host.view);
+    if (!node) {
+        return tl::unexpected<error>(node.error());
+    }
+    host.channel = &(*node)->channel();
+    // Modules that exchange messages with other hosts subscribe here, before the node starts.
+    auto health = prober(prober_options{&host.config, &host.view, host.channel, host.options.text("zone"),
+                                        host.apply_load_report});
+    auto feed = config_feed(host, std::move(*client), **node);
+    const auto started = (*node)->start();
+    if (!started) {
+        return started;
+    }
+    feed.start();
+    health.start();
     auto workers = start_workers(host);
     if (workers) {
         write_log(log_event::host_started, {{"host", host.options.text("name")},
@@ -82,18 +121,19 @@
                                             {"data", host.options.text("data-address")}});
         auto received = 0;
         sigwait(&signals, &received);
-        host.is_stopping = true;
-        write_log(log_event::host_stopping);
-        wait_until_quiet(host);
+        stop_gracefully(host, **node);
     }
     host.is_done = true;
-    feed.join();
+    health.stop();
+    feed.stop();
+    (*node)->stop();
     if (!workers) {
         return tl::unexpected<error>(workers.error());
     }
     for (auto& worker : *workers) {
         worker.join();
     }
+    log_control_traffic(start);
     write_log(log_event::host_stopped);
     return {};
 }
