--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -9,16 +9,17 @@
 
 // What went wrong, for callers that react to it.
 enum class error_kind {
-    invalid_setting,    // a flag or environment variable is unknown or out of range
-    invalid_document,   // a configuration document is malformed or inconsistent
-    invalid_message,    // a frame from a peer or the store does not decode
-    not_found,          // the named object does not exist
-    conflict,           // another operator changed the object first
-    store_unavailable,  // the store cannot be reached or answered with a failure
-    outcome_unknown,    // a store call may have taken effect; its answer was lost
-    network,            // a socket call failed
-    unauthorized,       // the shared key is missing or wrong
-    not_ready,          // the host has no configuration yet
+    invalid_setting,     // a flag or environment variable is unknown or out of range
+    invalid_document,    // a configuration document is malformed or inconsistent
+    invalid_message,     // a frame from a peer or the store does not decode
+    not_found,           // the named object does not exist
+    conflict,            // another operator changed the object first
+    store_unavailable,   // the store cannot be reached or answered with a failure
+    outcome_unknown,     // a store call may have taken effect; its answer was lost
+    revision_compacted,  // the store no longer has the changes after a revision
+    network,             // a socket call failed
+    unauthorized,        // the shared key is missing or wrong
+    not_ready,           // the host has no configuration yet
 };
 
 // One failure. The message says what happened; the remedy says what to do about it.
--- a/src/store/file_store.cpp
+++ b/src/store/file_store.cpp
@@ -34,7 +34,8 @@
     return listing;
 }
 
-auto refuse_write() -> result<std::uint64_t> {
+template <typename T>
+auto refuse() -> result<T> {
     return make_error(error_kind::store_unavailable, "the file store is read-only",
                       "edit the file and restart, or use --store=etcd");
 }
@@ -65,8 +66,14 @@
         return found == listing->values.end() ? std::optional<store_value>() : found->second;
     };
     client.write = [](const std::string&, std::uint64_t, const std::optional<std::string>&) {
-        return refuse_write();
+        return refuse<std::uint64_t>();
     };
+    client.transact = [](const std::vector<store_compare>&, const std::vector<store_change>&) {
+        return refuse<std::uint64_t>();
+    };
+    client.grant_lease = [](std::int64_t) { return refuse<std::int64_t>(); };
+    client.keep_lease_alive = [](std::int64_t) { return refuse<std::int64_t>(); };
+    client.revoke_lease = [](std::int64_t) { return refuse<void>(); };
     client.watch = [](const std::string&, std::uint64_t,
                       const std::function<bool(const std::vector<store_event>&)>& on_events) -> result<void> {
         while (on_events({})) {
--- a/src/store/store_base.h
+++ b/src/store/store_base.h
@@ -39,6 +39,20 @@
     std::uint64_t revision = 0;
 };
 
+// What a transaction requires: the key's revision is `revision` (0: the key does not exist).
+struct store_compare {
+    std::string key;
+    std::uint64_t revision = 0;
+};
+
+// What a transaction does to one key. An empty value removes it. A key with a lease is removed when the lease
+// ends.
+struct store_change {
+    std::string key;
+    std::optional<std::string> value;
+    std::int64_t lease = 0;
+};
+
 // An open connection to the store. All calls block for at most the store's time limit. Thread-safe.
 struct store_client {
     // Reads one key; an empty optional means that it does not exist.
@@ -51,11 +65,24 @@
     std::function<result<std::uint64_t>(const std::string& key, std::uint64_t expected,
                                         const std::optional<std::string>& value)>
         write;
+    // Makes all changes in one step if all comparisons hold, none otherwise. Returns the revision that all
+    // changed keys now have; errors as for write.
+    std::function<result<std::uint64_t>(const std::vector<store_compare>& compares,
+                                        const std::vector<store_change>& changes)>
+        transact;
     // Follows changes after `revision` until `on_events` returns false or the connection fails. `on_events`
-    // is called with an empty list at least once a second, so that the watch can be ended.
+    // is called with an empty list at least once a second, so that the watch can be ended. All changes of
+    // one revision come in one list. error_kind::revision_compacted asks for a fresh listing; after any
+    // other error the watch can be resumed after the last revision seen.
     std::function<result<void>(const std::string& prefix, std::uint64_t revision,
                                const std::function<bool(const std::vector<store_event>&)>& on_events)>
         watch;
+    // Opens a lease that ends after `ttl_s` seconds unless it is kept alive; returns its number.
+    std::function<result<std::int64_t>(std::int64_t ttl_s)> grant_lease;
+    // Renews a lease; returns the seconds left. error_kind::not_found if it has ended.
+    std::function<result<std::int64_t>(std::int64_t lease)> keep_lease_alive;
+    // Ends a lease and removes its keys.
+    std::function<result<void>(std::int64_t lease)> revoke_lease;
 };
 
 // A store plug-in.
