--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <tuple>
 #include <variant>
@@ -90,16 +91,22 @@
     friend auto operator!=(const target& a, const target& b) -> bool { return !(a == b); }
 };
 
+// Any object; monostate where an object was removed or never existed.
+using config_object = std::variant<std::monostate, profile, service, target>;
+
 // One object with the store's revision of its last change. monostate marks a removed object.
 struct config_entry {
     std::uint64_t revision = 0;
-    std::variant<std::monostate, profile, service, target> object;
+    config_object object;
 
     friend auto operator==(const config_entry& a, const config_entry& b) -> bool {
         return a.revision == b.revision && a.object == b.object;
     }
 };
 
+// An entry that the keeper and the snapshots share.
+using shared_entry = std::shared_ptr<const config_entry>;
+
 // Everything up to a revision. Keys are KIND/NAME, such as service/tracker-filing.
 struct configuration {
     std::uint64_t revision = 0;
--- a/src/config/snapshot_type.h
+++ b/src/config/snapshot_type.h
@@ -1,27 +1,26 @@
 // The configuration compiled for the data path: immutable, replaced whole.
 #pragma once
 
-#include <absl/container/flat_hash_map.h>
-
-#include <array>
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "config/config_type.h"
+#include "config/persistent_type.h"
 
 namespace agatepost {
 
-// A pool's targets, with an array from carried index to position.
+// A pool's targets, with an array from carried index to position. The array ends at the highest index in use:
+// most pools are small, and 256 entries for each of 31,000 pools would take 16 MB.
 struct snapshot_pool {
     std::string name;
-    std::vector<target> targets;                // all states but gone
-    std::array<std::uint16_t, 256> by_index{};  // position in targets plus 1; 0: no such target
+    shared_list<target> targets;          // all states but gone, ordered by name
+    std::vector<std::uint16_t> by_index;  // position in targets plus 1; 0: no such target
 
     // Returns the target that carries this index, or nullptr.
     auto target_of_index(std::uint8_t index) const -> const target* {
-        return by_index[index] == 0 ? nullptr : &targets[by_index[index] - 1U];
+        return index >= by_index.size() || by_index[index] == 0 ? nullptr : &targets[by_index[index] - 1U];
     }
 };
 
@@ -52,13 +51,13 @@
     std::uint16_t target = 0;   // position in the pool's targets
 };
 
-// All services and targets at a revision.
+// All services and targets at a revision. Positions hold within one snapshot only.
 struct snapshot {
     std::uint64_t revision = 0;
-    std::vector<snapshot_service> services;
-    std::vector<snapshot_pool> pools;
-    absl::flat_hash_map<transport_key, std::uint32_t> service_by_address;
-    absl::flat_hash_map<transport_key, reverse_entry> service_by_target;
+    chunked_vector<snapshot_service> services;
+    chunked_vector<snapshot_pool> pools;
+    sharded_map<transport_key, std::uint32_t> service_by_address;
+    sharded_map<transport_key, reverse_entry> service_by_target;
 
     // Returns the service at an address, or nullptr.
     auto find_service(const endpoint& address, ip_protocol protocol) const -> const snapshot_service* {
