--- a/bench/flow_bench.cpp
+++ b/bench/flow_bench.cpp
@@ -38,15 +38,16 @@
 auto make_snapshot() -> snapshot {
     auto config = snapshot{};
     config.revision = 1;
-    config.pools.push_back({"p", {}, {}});
+    auto pool = snapshot_pool{"p", {}, {}};
     for (auto i = 1; i <= 255; ++i) {
         auto t = target{};
         t.name = "t" + std::to_string(i);
         t.index = static_cast<std::uint8_t>(i);
         t.zone = "z";
         t.connections = 2000;
-        config.pools[0].targets.push_back(t);
+        pool.targets.push_back(t);
     }
+    config.pools.push_back(std::move(pool));
     auto found = snapshot_service{};
     found.rules.name = "f";
     found.rules.kind = flow_kind::feed;
--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -7,6 +7,7 @@
 #include "mix_func.h"
 #include "report_func.h"
 #include "scenario_base.h"
+#include "store_standin.h"
 
 namespace {
 
@@ -15,9 +16,9 @@
 constexpr int exit_usage = 2;
 
 auto usage() -> int {
-    std::cerr
-        << "usage: rig list | rig demo [--flag=value ...] | rig run --scenario=NAME [--flag=value ...]\n"
-           "'rig run --help' lists the flags\n";
+    std::cerr << "usage: rig list | rig demo [--flag=value ...] | rig run --scenario=NAME [--flag=value ...] "
+                 "| rig store\n"
+                 "'rig run --help' lists the flags\n";
     return exit_usage;
 }
 
@@ -125,6 +126,9 @@
     std::signal(SIGINT, [](int) { request_interrupt(); });
     std::signal(SIGTERM, [](int) { request_interrupt(); });
     try {
+        if (command == "store") {
+            return agatepost::run_store_command({argv + 2, argv + argc});
+        }
         if (command == "list") {
             return run_list();
         }
