Change: [host] Configuration feed uses config_keeper

Cause: the feed fetched the whole configuration for each change. Change: deltas between peers come from config_keeper; follow_store runs while the host is a watch holder. Conclusion: one owner of the newest configuration, host_state::keeper.

--- a/src/host/config_feed.cpp
+++ b/src/host/config_feed.cpp
@@ -1,8 +1,7 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
-#include "config/config_func.h"
-#include "config/snapshot_func.h"
+#include "core/counter_func.h"
 #include "core/log_func.h"
 #include "flow/hash_func.h"
 #include "host/config_feed_func.h"
@@ -13,7 +12,6 @@
 namespace {
 
 constexpr std::size_t watch_holders = 2;
-constexpr std::int64_t retry_ms = 500;
 constexpr std::int64_t step_ms = 20;
 constexpr std::int64_t platform_list_ms = 5000;
 // A starting host leaves the store alone for this long while it may still find peers that hold the watch.
@@ -39,22 +37,6 @@
 
 }  // namespace
 
-auto configuration_of(const store_listing& listing) -> configuration {
-    auto config = configuration{listing.revision, {}};
-    for (const auto& [key, stored] : listing.values) {
-        const auto name = key.substr(config_prefix.size());
-        const auto document = nlohmann::json::parse(stored.value, nullptr, false);
-        auto parsed = parse_object(name.substr(0, name.find('/')), document);
-        if (!parsed) {
-            write_log(log_event::configuration_rejected, {{"key", key}, {"error", to_text(parsed.error())}});
-            continue;
-        }
-        parsed->revision = stored.revision;
-        config.entries.emplace(name, std::move(*parsed));
-    }
-    return config;
-}
-
 auto platform_hosts_of(const store_listing& listing) -> std::vector<platform_host> {
     auto hosts = std::vector<platform_host>{};
     for (const auto& [key, stored] : listing.values) {
@@ -83,9 +65,12 @@
       node_(node),
       has_addresses_(!host.options.list("peers").empty()),
       mesh_(node, host.view,
-            config_exchange{[this] { return host_.config.load()->revision; },
-                            [this](std::uint64_t) { return encode(); },
-                            [this](const std::vector<std::uint8_t>& bytes) { return decode(bytes); }}) {}
+            config_exchange{
+                [this] { return host_.keeper.revision(); },
+                [this](std::uint64_t since) { return to_cbor(host_.keeper.delta_since(since)); },
+                [this](const std::vector<std::uint8_t>& bytes) { return apply_from_peer(bytes); }}) {
+    host_.keeper.on_change([this](const snapshot_ptr& next) { publish(next); });
+}
 
 config_feed::~config_feed() {
     stop();
@@ -124,9 +109,7 @@
     while (!is_done_) {
         if (must_watch()) {
             write_log(log_event::watch_started, {{"host", host_.options.text("name")}});
-            while (must_watch()) {
-                follow_store();
-            }
+            follow_store(store_, host_.keeper, [this] { return !must_watch(); });
             write_log(log_event::watch_ended, {{"host", host_.options.text("name")}});
         }
         if (host_.config.load()->revision == 0 && now() >= next_missing) {
@@ -138,28 +121,6 @@
     }
 }
 
-auto config_feed::follow_store() -> void {
-    const auto failed = [&](const error& e) {
-        write_log(log_event::watch_failed, {{"error", to_text(e)}});
-        pause(retry_ms);
-    };
-    const auto listing = store_.list(std::string(config_prefix));
-    if (!listing) {
-        failed(listing.error());
-        return;
-    }
-    if (apply(configuration_of(*listing))) {
-        mesh_.announce();
-    }
-    // Any change leads to a fresh listing, so that the snapshot is always that of one revision.
-    const auto watched =
-        store_.watch(std::string(config_prefix), listing->revision,
-                     [&](const std::vector<store_event>& events) { return events.empty() && must_watch(); });
-    if (!watched) {
-        failed(watched.error());
-    }
-}
-
 auto config_feed::run_platform_list() -> void {
     while (!is_done_) {
         if (!is_watch_holder(*host_.view.load()) && node_.members().has_met_peers()) {
@@ -176,41 +137,21 @@
     }
 }
 
-auto config_feed::apply(configuration next) -> bool {
-    const auto lock = std::lock_guard(mutex_);
-    if (next.revision <= config_.revision) {
+auto config_feed::apply_from_peer(const std::vector<std::uint8_t>& bytes) -> bool {
+    const auto delta = parse_delta_cbor(bytes);
+    if (!delta) {
+        count(counter::drop_peer_message);
         return false;
     }
-    config_ = std::move(next);
-    host_.config.store(build_snapshot(config_));
-    write_log(log_event::configuration_applied, {{"revision", std::to_string(config_.revision)},
-                                                 {"objects", std::to_string(config_.entries.size())}});
-    return true;
+    return host_.keeper.apply_delta(*delta);
 }
 
-auto config_feed::encode() const -> std::vector<std::uint8_t> {
-    const auto lock = std::lock_guard(mutex_);
-    auto entries = nlohmann::json::array();
-    for (const auto& [key, entry] : config_.entries) {
-        entries.push_back({key, entry.revision, to_json(entry)});
-    }
-    return nlohmann::json::to_cbor({{"r", config_.revision}, {"e", std::move(entries)}});
-}
-
-auto config_feed::decode(const std::vector<std::uint8_t>& bytes) -> bool {
-    const auto document = nlohmann::json::from_cbor(bytes);
-    auto next = configuration{document.at("r").get<std::uint64_t>(), {}};
-    for (const auto& row : document.at("e")) {
-        const auto key = row.at(0).get<std::string>();
-        auto parsed = parse_object(key.substr(0, key.find('/')), row.at(2));
-        if (!parsed) {
-            write_log(log_event::configuration_rejected, {{"key", key}, {"error", to_text(parsed.error())}});
-            continue;
-        }
-        parsed->revision = row.at(1).get<std::uint64_t>();
-        next.entries.emplace(key, std::move(*parsed));
-    }
-    return apply(std::move(next));
+// Called by the keeper in order of revision, whichever thread applied the change.
+auto config_feed::publish(const snapshot_ptr& next) -> void {
+    host_.config.store(next);
+    write_log(log_event::configuration_applied,
+              {{"host", host_.options.text("name")}, {"revision", std::to_string(next->revision)}});
+    mesh_.announce();
 }
 
 }  // namespace agatepost
--- a/src/host/config_feed_func.h
+++ b/src/host/config_feed_func.h
@@ -15,16 +15,13 @@
 // Prefix of the platform's list of hosts; the rest of a key is the host's name.
 constexpr std::string_view platform_hosts_prefix = "/platform/hosts/";
 
-// Parses what the store holds under config_prefix. Objects that do not parse are logged and left out.
-auto configuration_of(const store_listing& listing) -> configuration;
-
 // Parses the platform's list of hosts. Entries that do not parse are left out.
 auto platform_hosts_of(const store_listing& listing) -> std::vector<platform_host>;
 
 // Returns whether the view's own host is one of the two that hold the store's watch for the zone.
 auto is_watch_holder(const host_view& view) -> bool;
 
-// The configuration that a host holds and its threads. Construct before the node starts.
+// The threads that keep host.keeper and host.config up to date. Construct before the node starts.
 class config_feed {
 public:
     config_feed(host_state& host, store_client store, peer_node& node);
@@ -40,11 +37,9 @@
 private:
     auto run_watch() -> void;
     auto run_platform_list() -> void;
-    auto follow_store() -> void;
     auto must_watch() const -> bool;
-    auto apply(configuration next) -> bool;
-    auto encode() const -> std::vector<std::uint8_t>;
-    auto decode(const std::vector<std::uint8_t>& bytes) -> bool;
+    auto apply_from_peer(const std::vector<std::uint8_t>& bytes) -> bool;
+    auto publish(const snapshot_ptr& next) -> void;
     auto pause(std::int64_t ms) const -> void;
 
     host_state& host_;
@@ -53,8 +48,6 @@
     std::atomic<bool> is_done_{false};
     std::atomic<bool> has_addresses_;  // other hosts may exist
     time_ms start_ = now();
-    mutable std::mutex mutex_;  // guards config_
-    configuration config_;
     mesh mesh_;
     std::vector<std::thread> threads_;
 };
--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 
+#include "config/config_keeper_base.h"
 #include "config/snapshot_type.h"
 #include "core/published_base.h"
 #include "core/settings_func.h"
@@ -22,6 +23,7 @@
     const settings options;
     const link_plugin* link = nullptr;
     const placement_plugin* placement = nullptr;
+    config_keeper keeper;                         // newest configuration, with what changed
     published<snapshot> config;                   // written by the configuration feed
     published<host_view> view;                    // written by membership
     std::atomic<bool> is_stopping{false};         // a graceful stop was asked for
