--- a/src/host/config_feed.cpp
+++ b/src/host/config_feed.cpp
@@ -16,6 +16,7 @@
 constexpr std::int64_t platform_list_ms = 5000;
 // A starting host leaves the store alone for this long while it may still find peers that hold the watch.
 constexpr std::int64_t join_limit_ms = 2000;
+constexpr std::int64_t view_limit_ms = 1000;  // the same, when peers answer but the view may be incomplete
 constexpr std::int64_t missing_after_ms = 3000;
 constexpr std::int64_t missing_every_ms = 60000;
 
@@ -99,9 +100,9 @@
 }
 
 auto config_feed::must_watch() const -> bool {
-    const auto may_find_peers =
-        has_addresses_ && !node_.members().has_met_peers() && now() - start_ < join_limit_ms;
-    return !is_done_ && !may_find_peers && is_watch_holder(*host_.view.load());
+    const auto limit = node_.members().has_met_peers() ? view_limit_ms : join_limit_ms;
+    const auto is_joining = has_addresses_ && now() - start_ < limit;
+    return !is_done_ && !is_joining && is_watch_holder(*host_.view.load());
 }
 
 auto config_feed::run_watch() -> void {
