--- a/src/host/host_base.h
+++ b/src/host/host_base.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 
+#include "config/config_keeper_base.h"
 #include "config/snapshot_type.h"
 #include "core/published_base.h"
 #include "core/settings_func.h"
@@ -23,6 +24,7 @@
     const settings options;
     const link_plugin* link = nullptr;
     const placement_plugin* placement = nullptr;
+    config_keeper keeper;                         // newest configuration, with what changed
     published<snapshot> config;                   // written by the configuration feed
     published<host_view> view;                    // written by membership
     flow_state flows;                             // thread-safe; written by workers, timers and messages
