Change: [tests] Flow tests use the shared packet builder

Change: the builder takes sequence numbers; the flow tests use it, share the numbered flow identity, and check that the close of an owner's flow does not reduce inherited counts. The packet benchmark passes a flow state.

--- a/bench/packet_bench.cpp
+++ b/bench/packet_bench.cpp
@@ -44,7 +44,8 @@
     const auto set = build_packets();
     const auto view = host_view{};
     const auto* placement = plugin_registry<placement_plugin>::instance().find("carried");
-    const auto context = forward_context{set.config.get(), &view, placement, "zone-1"};
+    auto flows = flow_state("zone-1");
+    const auto context = forward_context{set.config.get(), &view, placement, "zone-1", &flows, time_ms{1000}};
     auto sink = packet_sink{};
     auto copy = std::vector<std::uint8_t>{};
     auto next = std::size_t{0};
--- a/tests/flow_chooser_test.cpp
+++ b/tests/flow_chooser_test.cpp
@@ -19,7 +19,6 @@
     struct flow {
         std::uint8_t target = 0;
         std::string profile_name;
-        bool is_half_open = true;
         bool client_fin = false;
         bool target_fin = false;
         std::uint32_t sequence = 0;
@@ -47,11 +46,6 @@
 
 const auto syn = std::vector<std::uint8_t>(60);
 
-auto id_of_number(int n) -> flow_id {
-    return id_of(flow_key{at("10.0.0.1:" + std::to_string(1000 + n)), at("10.9.0.1:80"), ip_protocol::tcp});
-}
-
-// Compares all counts, and returns a text on the first difference.
 auto compare_counts(const pool_chooser& chooser, const naive_chooser& naive, int targets) -> void {
     const auto counts = chooser.own_counts();
     for (auto i = 1; i <= targets; ++i) {
@@ -84,7 +78,7 @@
     }
     RC_ASSERT(result.target != 0);
     RC_ASSERT(naive.used(result.target, profile_name) == least);
-    naive.open[n] = {result.target, profile_name, true, false, false, sequence};
+    naive.open[n] = {result.target, profile_name, false, false, sequence};
 }
 
 class flow_chooser_test : public CppUnit::TestFixture {
@@ -257,6 +251,9 @@
         chooser.inherit(previous);
         chooser.configure(*test_pool(2).build(), 0, start_);
         CPPUNIT_ASSERT_EQUAL(2, int{open(chooser, 0, start_)});
+        // A flow that an owner holds was never counted here, so its close must not count either.
+        chooser.close(id_of_number(2), flow_end::target, true, 1, false, "r", start_);
+        CPPUNIT_ASSERT_EQUAL(2U, chooser.counts()[1].slots_busy);
         const auto id = id_of_number(1);
         for (auto i = 0; i < 3; ++i) {  // retransmitted FINs
             chooser.close(id, flow_end::client, false, 1, true, "r", start_);
--- a/tests/flow_messages_test.cpp
+++ b/tests/flow_messages_test.cpp
@@ -127,10 +127,6 @@
     return true;
 }
 
-auto id_of_number(int n) -> flow_id {
-    return id_of(flow_key{at("10.0.0.3:" + std::to_string(1000 + n)), at("10.9.0.1:80"), ip_protocol::tcp});
-}
-
 auto open_flows(pool_chooser& chooser, int begin, int end) -> void {
     const auto syn = std::vector<std::uint8_t>(40);
     for (auto n = begin; n < end; ++n) {
--- a/tests/flow_table_test.cpp
+++ b/tests/flow_table_test.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-auto id_of_number(int n) -> flow_id {
-    return id_of(flow_key{at("10.0.0.2:" + std::to_string(1000 + n)), at("10.9.0.1:80"), ip_protocol::tcp});
-}
-
 auto rules_with(flow_kind kind, std::int64_t idle_ms) -> profile {
     auto rules = profile{};
     rules.kind = kind;
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -4,56 +4,32 @@
 #include <random>
 
 #include "flow_test_func.h"
-#include "net/byte_order_func.h"
-#include "net/checksum_func.h"
+#include "packet_builder.h"
 
 namespace agatepost {
 
-namespace {
-
-auto finish_packet(std::vector<std::uint8_t>& packet, ip_protocol protocol, const endpoint& source,
-                   const endpoint& destination, std::size_t checksum_at) -> void {
-    packet[0] = 0x45;
-    store_u16(&packet[2], static_cast<std::uint16_t>(packet.size()));
-    packet[8] = 64;
-    packet[9] = static_cast<std::uint8_t>(protocol);
-    std::copy_n(source.address.bytes.begin(), 4, &packet[12]);
-    std::copy_n(destination.address.bytes.begin(), 4, &packet[16]);
-    store_u16(&packet[10], static_cast<std::uint16_t>(~checksum_fold(checksum_add(0, packet.data(), 20))));
-    store_u16(&packet[20], source.port);
-    store_u16(&packet[22], destination.port);
-    auto sum = checksum_add(0, &packet[12], 8) + static_cast<std::uint64_t>(protocol) + packet.size() - 20;
-    sum = checksum_add(sum, &packet[20], packet.size() - 20);
-    store_u16(&packet[20 + checksum_at], static_cast<std::uint16_t>(~checksum_fold(sum)));
-}
-
-}  // namespace
-
 auto make_tcp(const endpoint& source, const endpoint& destination, const tcp_options& options)
     -> std::vector<std::uint8_t> {
-    const auto header = std::size_t{20} + (options.has_timestamp ? 12 : 0);
-    auto packet = std::vector<std::uint8_t>(20 + header + options.payload);
-    store_u32(&packet[24], options.sequence);
-    store_u32(&packet[28], options.acknowledgment);
-    packet[32] = static_cast<std::uint8_t>(header / 4 << 4U);
-    packet[33] = options.flags;
-    if (options.has_timestamp) {
-        packet[40] = 1;
-        packet[41] = 1;
-        packet[42] = 8;
-        packet[43] = 10;
-        store_u32(&packet[44], options.timestamp);
-        store_u32(&packet[48], options.echo);
-    }
-    finish_packet(packet, ip_protocol::tcp, source, destination, 16);
-    return packet;
+    auto spec = test::packet_spec{};
+    spec.source = source;
+    spec.destination = destination;
+    spec.tcp_flags = options.flags;
+    spec.has_timestamp = options.has_timestamp;
+    spec.timestamp_value = options.timestamp;
+    spec.timestamp_echo = options.echo;
+    spec.payload.resize(options.payload);
+    spec.sequence = options.sequence;
+    spec.acknowledgment = options.acknowledgment;
+    return test::build_packet(spec);
 }
 
 auto make_udp(const endpoint& source, const endpoint& destination) -> std::vector<std::uint8_t> {
-    auto packet = std::vector<std::uint8_t>(32);
-    store_u16(&packet[24], 12);
-    finish_packet(packet, ip_protocol::udp, source, destination, 6);
-    return packet;
+    auto spec = test::packet_spec{};
+    spec.source = source;
+    spec.destination = destination;
+    spec.protocol = ip_protocol::udp;
+    spec.payload.resize(4);
+    return test::build_packet(spec);
 }
 
 auto test_seed() -> unsigned {
--- a/tests/flow_test_func.h
+++ b/tests/flow_test_func.h
@@ -18,6 +18,11 @@
     return *parse_endpoint(text);
 }
 
+// Identity of the TCP flow from client port 1000 + n to service `r`.
+inline auto id_of_number(int n) -> flow_id {
+    return id_of(flow_key{at("10.0.0.1:" + std::to_string(1000 + n)), at("10.9.0.1:80"), ip_protocol::tcp});
+}
+
 // A pool `p` in zone `z` with targets t1.. at 10.1.0.N, service 10.9.0.1:80 (profile `r`, requests), service
 // 10.9.0.1:81 (profile `f`, feeds) and UDP service 10.9.0.1:53 (profile `f`).
 struct test_pool {
--- a/tests/packet_builder.h
+++ b/tests/packet_builder.h
@@ -21,6 +21,8 @@
     std::uint32_t timestamp_echo = 0;
     std::size_t leading_nops = 2;  // 2 is what common stacks send; other numbers move the option
     std::vector<std::uint8_t> payload;
+    std::uint32_t sequence = 1000;
+    std::uint32_t acknowledgment = 2000;
 };
 
 inline auto write_options(std::vector<std::uint8_t>& packet, const packet_spec& spec) -> void {
@@ -45,8 +47,8 @@
         write_options(packet, spec);
         packet[network + 12] = static_cast<std::uint8_t>((packet.size() - network) / 4 * 16);
         packet[network + 13] = spec.tcp_flags;
-        store_u32(packet.data() + network + 4, 1000);
-        store_u32(packet.data() + network + 8, 2000);
+        store_u32(packet.data() + network + 4, spec.sequence);
+        store_u32(packet.data() + network + 8, spec.acknowledgment);
     }
     packet.insert(packet.end(), spec.payload.begin(), spec.payload.end());
     auto* data = packet.data();
