Feature: [cmd] Command line, settings with remedies, operators' commands and pages

Cause: a person on call needs commands that explain themselves, errors that name all wrong settings with their remedy, and pages that match the binary.

Settings have the types identifier, endpoints and choice; all problems are reported at once with value, source, allowed values and remedy; unknown AGATEPOST_ variables stop the start; secrets are refused as flags and never shown.

--- a/src/core/settings_func.h
+++ b/src/core/settings_func.h
@@ -15,11 +15,14 @@
 
 // Types of settings, which decide how a value is checked.
 enum class setting_type {
-    text,      // any text
-    number,    // a whole number within the row's bounds
-    endpoint,  // ADDRESS:PORT
-    list,      // comma-separated text
-    secret,    // text that is never printed
+    text,        // any text
+    identifier,  // 1 to 64 letters, digits, '.', '_' and '-'
+    number,      // a whole number within the row's bounds
+    endpoint,    // ADDRESS:PORT
+    endpoints,   // comma-separated ADDRESS:PORT
+    list,        // comma-separated text
+    choice,      // one of the values in the row's unit, or of the registered choices
+    secret,      // text that is never printed and only taken from the environment
 };
 
 // One row of the table.
@@ -33,12 +36,34 @@
     std::string_view help;
 };
 
+// A flag of one command, beside the settings.
+struct flag_row {
+    std::string_view name;
+    std::string_view value_name;  // empty: a switch without a value
+    std::string_view help;
+};
+
 // Returns all rows in table order.
 auto setting_rows() -> const std::vector<setting_row>&;
 
 // Returns the name of the environment variable of a setting.
 auto environment_name(std::string_view setting) -> std::string;
 
+// Gives the values of a choice setting that are known only at run time, such as the names of plug-ins. A
+// static object of this type registers them before main runs.
+struct setting_choices_registration {
+    setting_choices_registration(std::string_view setting, auto(*choices)()->std::vector<std::string>);
+};
+
+// Returns the allowed values of a choice setting, sorted.
+auto setting_choices(const setting_row& row) -> std::vector<std::string>;
+
+// Describes the values that a setting allows, such as "a number from 1 to 64 threads".
+auto allowed_values(const setting_row& row) -> std::string;
+
+// Renders the reference page of all settings in Markdown. The same for each run of a binary.
+auto settings_markdown() -> std::string;
+
 // Checked values of all settings. Accessors abort on a name that is not in the table or has another type,
 // which is a programming error.
 class settings {
@@ -56,8 +81,32 @@
     std::map<std::string, std::string> values_;
 };
 
+// The arguments of a command: settings, its own flags, and words that are no flags.
+struct command_arguments {
+    settings options;
+    std::map<std::string, std::string> flags;  // those given; a switch has the value "true"
+    std::vector<std::string> words;
+
+    auto has(const std::string& flag) const -> bool { return flags.count(flag) != 0; }
+
+    // Returns the value of a flag, or an empty text if it was not given.
+    auto value(const std::string& flag) const -> std::string {
+        const auto found = flags.find(flag);
+        return found == flags.end() ? std::string() : found->second;
+    }
+};
+
 // Reads all settings from the command line (without the program and sub-command names) and the environment.
-// Returns the first setting that is unknown or has a wrong value, with the allowed range.
+// The error names all that is wrong: each setting with its value, where the value came from, what is allowed
+// and the remedy; flags and AGATEPOST_ variables that do not exist, with the nearest one that does.
 auto read_settings(const std::vector<std::string>& arguments) -> result<settings>;
 
+// Like read_settings, for a command with flags of its own and up to `word_limit` words.
+auto read_arguments(const std::vector<std::string>& arguments, const std::vector<flag_row>& flags,
+                    std::size_t word_limit = 0) -> result<command_arguments>;
+
+// Returns every problem by itself; empty if the arguments and the environment are right.
+auto argument_problems(const std::vector<std::string>& arguments, const std::vector<flag_row>& flags = {},
+                       std::size_t word_limit = 0) -> std::vector<error>;
+
 }  // namespace agatepost
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,32 +3,53 @@
 #include <algorithm>
 #include <iostream>
 
-#include "cmd/command_base.h"
+#include "cmd/command_func.h"
+#include "core/text_func.h"
 
 namespace {
 
-auto print_usage(std::ostream& out) -> void {
-    out << "usage: agatepost COMMAND [--flag=value ...]\n\ncommands:\n";
-    for (const auto* command : agatepost::plugin_registry<agatepost::command_plugin>::instance().all()) {
-        out << "  " << command->name << std::string(12 - std::min<std::size_t>(11, command->name.size()), ' ')
-            << command->summary << "\n";
+using agatepost::command_plugin;
+namespace exit_code = agatepost::exit_code;
+
+auto is_help(const std::string& argument) -> bool {
+    return argument == "--help" || argument == "-h";
+}
+
+auto report_unknown_command(const std::string& name) -> int {
+    auto names = std::vector<std::string>{"help"};
+    for (const auto* command : agatepost::plugin_registry<command_plugin>::instance().all()) {
+        names.emplace_back(command->name);
     }
+    std::cerr << "agatepost: '" << name << "' is not a command" << agatepost::suggestion(name, names)
+              << "\nremedy: 'agatepost --help' lists all commands\n";
+    return exit_code::usage;
 }
 
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
     const auto arguments = std::vector<std::string>(argv + 1, argv + argc);
-    if (arguments.empty() || arguments.front() == "--help" || arguments.front() == "help") {
-        print_usage(arguments.empty() ? std::cerr : std::cout);
-        return arguments.empty() ? agatepost::exit_code::usage : agatepost::exit_code::success;
+    if (arguments.empty()) {
+        agatepost::print_usage(std::cerr);
+        return exit_code::usage;
     }
-    const auto* command =
-        agatepost::plugin_registry<agatepost::command_plugin>::instance().find(arguments.front());
+    const auto& registry = agatepost::plugin_registry<command_plugin>::instance();
+    const auto wants_help = arguments.front() == "help" || is_help(arguments.front());
+    if (wants_help && arguments.size() == 1) {
+        agatepost::print_usage(std::cout);
+        return exit_code::success;
+    }
+    const auto name = wants_help                         ? arguments[1]
+                      : arguments.front() == "--version" ? std::string("version")
+                                                         : arguments.front();
+    const auto* command = registry.find(name);
     if (command == nullptr) {
-        std::cerr << "'" << arguments.front() << "' is not a command\n";
-        print_usage(std::cerr);
-        return agatepost::exit_code::usage;
+        return report_unknown_command(name);
+    }
+    const auto rest = std::vector<std::string>(arguments.begin() + 1, arguments.end());
+    if (wants_help || std::any_of(rest.begin(), rest.end(), is_help)) {
+        agatepost::print_command_help(std::cout, *command);
+        return exit_code::success;
     }
-    return command->run(std::vector<std::string>(arguments.begin() + 1, arguments.end()));
+    return command->run(rest);
 }
