--- a/src/cmd/serve_cmd.cpp
+++ b/src/cmd/serve_cmd.cpp
@@ -8,10 +8,13 @@
 
 #include "cmd/command_base.h"
 #include "core/clock_type.h"
+#include "core/counter_func.h"
 #include "core/history_func.h"
 #include "core/log_func.h"
 #include "host/admin_pages_func.h"
 #include "host/config_feed_func.h"
+#include "host/flow_pages_func.h"
+#include "host/forward_messages_func.h"
 #include "host/host_base.h"
 #include "host/worker_func.h"
 
@@ -57,6 +60,112 @@
     }
 }
 
+// Says what the host exchanged with others; capacity planning and tests read it.
+auto log_control_traffic(time_ms start) -> void {
+    write_log(log_event::control_traffic,
+              {{"sent", std::to_string(counter_value(counter::control_bytes_sent))},
+               {"received", std::to_string(counter_value(counter::control_bytes_received))},
+               {"ms", std::to_string(now() - start)}});
+}
+
+// The parts of a host, in the order in which they are opened. Nothing runs before start.
+struct host_parts {
+    std::unique_ptr<admin_server> admin;
+    std::unique_ptr<peer_node> node;
+    std::unique_ptr<prober> health;
+    std::unique_ptr<config_feed> feed;
+    std::thread flow_timers;
+    std::vector<std::thread> workers;
+};
+
+// Connects the flow module to messages, load reports and the admin port.
+auto connect_flows(host_state& host, host_parts& parts) -> void {
+    register_flow_messages(host, parts.node->channel());
+    host.apply_load_report = [&host](const std::string& pool, const std::string& target_name,
+                                     std::uint32_t slots_busy, std::uint32_t connections, bool is_reachable) {
+        apply_load_report(host.flows, *host.config.load(), pool, target_name, slots_busy, connections,
+                          is_reachable, now());
+    };
+    host.hand_over = [&host, channel = host.channel] { hand_over_flows(host, *channel); };
+    add_flow_pages(*parts.admin, host);
+}
+
+// Opens the store, the admin port and the peer address, and registers what modules do for each other.
+auto open_parts(host_state& host, host_parts& parts) -> result<void> {
+    const auto store = pick_plugin<store_plugin>(host.options, "store");
+    if (!store) {
+        return tl::unexpected<error>(store.error());
+    }
+    auto client = (*store)->open(host.options);
+    if (!client) {
+        return tl::unexpected<error>(client.error());
+    }
+    auto admin = make_admin_server(host);
+    if (!admin) {
+        return tl::unexpected<error>(admin.error());
+    }
+    parts.admin = std::move(*admin);
+    auto node_options = read_peer_node_options(host.options);
+    if (!node_options) {
+        return tl::unexpected<error>(node_options.error());
+    }
+    auto node = peer_node::open(std::move(*node_options), host.view);
+    if (!node) {
+        return tl::unexpected<error>(node.error());
+    }
+    parts.node = std::move(*node);
+    host.channel = &parts.node->channel();
+    connect_flows(host, parts);
+    parts.health = std::make_unique<prober>(prober_options{
+        &host.config, &host.view, host.channel, host.options.text("zone"), host.apply_load_report});
+    parts.feed = std::make_unique<config_feed>(host, std::move(*client), *parts.node);
+    return {};
+}
+
+auto start_parts(host_state& host, host_parts& parts) -> result<void> {
+    auto started = parts.admin->start();
+    if (started) {
+        started = parts.node->start();
+    }
+    if (!started) {
+        return started;
+    }
+    parts.feed->start();
+    parts.health->start();
+    auto workers = start_workers(host);
+    if (!workers) {
+        return tl::unexpected<error>(workers.error());
+    }
+    parts.workers = std::move(*workers);
+    parts.flow_timers = start_flow_timers(host, *host.channel);
+    return {};
+}
+
+// The stop that other hosts can rely on: they hear of it first, then take over, and only then is it quiet.
+auto stop_gracefully(host_state& host, host_parts& parts) -> void {
+    host.is_stopping = true;
+    write_log(log_event::host_stopping);
+    record_history(history_kind::host, {{"event", "stopping"}});
+    parts.node->members().announce_leaving();
+    host.hand_over();
+    wait_until_quiet(host);
+}
+
+// Ends all threads. Parts that were not started are not affected.
+auto end_parts(host_state& host, host_parts& parts) -> void {
+    host.is_done = true;
+    parts.health->stop();
+    parts.feed->stop();
+    parts.node->stop();
+    for (auto& worker : parts.workers) {
+        worker.join();
+    }
+    if (parts.flow_timers.joinable()) {
+        parts.flow_timers.join();
+    }
+    parts.admin->stop();
+}
+
 auto serve(const std::vector<std::string>& arguments) -> result<void> {
     auto options = read_settings(arguments);
     if (!options) {
@@ -66,46 +175,31 @@
     auto host = host_state(std::move(*options));
     const auto link = pick_plugin<link_plugin>(host.options, "link");
     const auto placement = pick_plugin<placement_plugin>(host.options, "placement");
-    const auto store = pick_plugin<store_plugin>(host.options, "store");
-    if (!link || !placement || !store) {
-        return tl::unexpected<error>(!link ? link.error() : !placement ? placement.error() : store.error());
+    if (!link || !placement) {
+        return tl::unexpected<error>(!link ? link.error() : placement.error());
     }
     host.link = *link;
     host.placement = *placement;
-    auto client = (*store)->open(host.options);
-    if (!client) {
-        return tl::unexpected<error>(client.error());
-    }
-    auto admin = make_admin_server(host);
-    if (!admin) {
-        return tl::unexpected<error>(admin.error());
-    }
+    const auto start = now();
     const auto signals = block_stop_signals();
-    auto listening = (*admin)->start();
-    if (!listening) {
-        return listening;
+    auto parts = host_parts{};
+    const auto opened = open_parts(host, parts);
+    if (!opened) {
+        return opened;
     }
-    auto feed = start_config_feed(host, std::move(*client));
-    auto workers = start_workers(host);
-    if (workers) {
+    const auto started = start_parts(host, parts);
+    if (started) {
         write_log(log_event::host_started, {{"data", host.options.text("data-address")}});
         record_history(history_kind::host, {{"event", "started"}});
         auto received = 0;
         sigwait(&signals, &received);
-        host.is_stopping = true;
-        write_log(log_event::host_stopping);
-        record_history(history_kind::host, {{"event", "stopping"}});
-        wait_until_quiet(host);
-    }
-    host.is_done = true;
-    feed.join();
-    if (!workers) {
-        return tl::unexpected<error>(workers.error());
+        stop_gracefully(host, parts);
     }
-    for (auto& worker : *workers) {
-        worker.join();
+    end_parts(host, parts);
+    if (!started) {
+        return started;
     }
-    (*admin)->stop();
+    log_control_traffic(start);
     write_log(log_event::host_stopped);
     flush_log();
     return {};
--- a/src/host/config_feed.cpp
+++ b/src/host/config_feed.cpp
@@ -1,61 +1,158 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
-#include "config/config_func.h"
-#include "config/snapshot_func.h"
+#include "core/counter_func.h"
 #include "core/log_func.h"
+#include "flow/hash_func.h"
 #include "host/config_feed_func.h"
+#include "peer/host_view_func.h"
 
 namespace agatepost {
 
 namespace {
 
-constexpr auto retry_pause = std::chrono::milliseconds(500);
+constexpr std::size_t watch_holders = 2;
+constexpr std::int64_t step_ms = 20;
+constexpr std::int64_t platform_list_ms = 5000;
+// A starting host leaves the store alone for this long while it may still find peers that hold the watch.
+constexpr std::int64_t join_limit_ms = 2000;
+constexpr std::int64_t view_limit_ms = 1000;  // the same, when peers answer but the view may be incomplete
+constexpr std::int64_t missing_after_ms = 3000;
+constexpr std::int64_t missing_every_ms = 60000;
 
-auto publish(host_state& host, const configuration& config) -> void {
-    host.config.store(build_snapshot(config));
-    write_log(log_event::configuration_applied, {{"revision", std::to_string(config.revision)},
-                                                 {"objects", std::to_string(config.entries.size())}});
+auto parse_platform_host(const std::string& name, const std::string& text) -> std::optional<platform_host> {
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return std::nullopt;
+    }
+    const auto text_of = [&](const char* field) {
+        const auto found = document.find(field);
+        return found != document.end() && found->is_string() ? found->get<std::string>() : std::string();
+    };
+    const auto peer = parse_endpoint(text_of("peer"));
+    if (!peer) {
+        return std::nullopt;
+    }
+    return platform_host{name, text_of("zone"), *peer, text_of("state") == "leaving"};
 }
 
-auto run_feed(host_state& host, const store_client& store) -> void {
-    while (!host.is_done) {
-        const auto listing = store.list(std::string(config_prefix));
-        if (!listing) {
-            write_log(log_event::configuration_missing, {{"error", to_text(listing.error())}});
-            std::this_thread::sleep_for(retry_pause);
-            continue;
+}  // namespace
+
+auto platform_hosts_of(const store_listing& listing) -> std::vector<platform_host> {
+    auto hosts = std::vector<platform_host>{};
+    for (const auto& [key, stored] : listing.values) {
+        const auto parsed = parse_platform_host(key.substr(platform_hosts_prefix.size()), stored.value);
+        if (parsed) {
+            hosts.push_back(*parsed);
         }
-        if (listing->revision > host.config.load()->revision) {
-            publish(host, configuration_of(*listing));
+    }
+    return hosts;
+}
+
+auto is_watch_holder(const host_view& view) -> bool {
+    const auto key = stable_hash("watch");
+    for (auto rank = std::size_t{0}; rank < watch_holders; ++rank) {
+        const auto* holder = host_of_rank(view, key, rank);
+        if (holder != nullptr && holder->name == view.self) {
+            return true;
         }
-        // Any change leads to a fresh listing, so that the snapshot is always that of one revision.
-        (void)store.watch(
-            std::string(config_prefix), listing->revision,
-            [&](const std::vector<store_event>& events) { return events.empty() && !host.is_done; });
     }
+    return false;
 }
 
-}  // namespace
+config_feed::config_feed(host_state& host, store_client store, peer_node& node)
+    : host_(host),
+      store_(std::move(store)),
+      node_(node),
+      has_addresses_(!host.options.list("peers").empty()),
+      mesh_(node, host.view,
+            config_exchange{
+                [this] { return host_.keeper.revision(); },
+                [this](std::uint64_t since) { return to_cbor(host_.keeper.delta_since(since)); },
+                [this](const std::vector<std::uint8_t>& bytes) { return apply_from_peer(bytes); }}) {
+    host_.keeper.on_change([this](const snapshot_ptr& next) { publish(next); });
+}
 
-auto configuration_of(const store_listing& listing) -> configuration {
-    auto config = configuration{listing.revision, {}};
-    for (const auto& [key, stored] : listing.values) {
-        const auto name = key.substr(config_prefix.size());
-        const auto document = nlohmann::json::parse(stored.value, nullptr, false);
-        auto parsed = parse_object(name.substr(0, name.find('/')), document);
-        if (!parsed) {
-            write_log(log_event::configuration_rejected, {{"key", key}, {"error", to_text(parsed.error())}});
+config_feed::~config_feed() {
+    stop();
+}
+
+auto config_feed::start() -> void {
+    mesh_.start();
+    threads_.emplace_back([this] { run_watch(); });
+    threads_.emplace_back([this] { run_platform_list(); });
+}
+
+auto config_feed::stop() -> void {
+    is_done_ = true;
+    for (auto& thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+    mesh_.stop();
+}
+
+auto config_feed::pause(std::int64_t ms) const -> void {
+    const auto end = now() + ms;
+    while (!is_done_ && now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(step_ms));
+    }
+}
+
+auto config_feed::must_watch() const -> bool {
+    const auto limit = node_.members().has_met_peers() ? view_limit_ms : join_limit_ms;
+    const auto is_joining = has_addresses_ && now() - start_ < limit;
+    return !is_done_ && !is_joining && is_watch_holder(*host_.view.load());
+}
+
+auto config_feed::run_watch() -> void {
+    auto next_missing = start_ + missing_after_ms;
+    while (!is_done_) {
+        if (must_watch()) {
+            write_log(log_event::watch_started, {{"host", host_.options.text("name")}});
+            follow_store(store_, host_.keeper, [this] { return !must_watch(); });
+            write_log(log_event::watch_ended, {{"host", host_.options.text("name")}});
+        }
+        if (host_.config.load()->revision == 0 && now() >= next_missing) {
+            next_missing = now() + missing_every_ms;
+            write_log(log_event::configuration_missing,
+                      {{"remedy", "check the store and the settings store-address and peers"}});
+        }
+        pause(step_ms);
+    }
+}
+
+auto config_feed::run_platform_list() -> void {
+    while (!is_done_) {
+        if (!is_watch_holder(*host_.view.load()) && node_.members().has_met_peers()) {
+            pause(step_ms);
             continue;
         }
-        parsed->revision = stored.revision;
-        config.entries.emplace(name, std::move(*parsed));
+        const auto listing = store_.list(std::string(platform_hosts_prefix));
+        if (listing && !listing->values.empty()) {
+            const auto hosts = platform_hosts_of(*listing);
+            has_addresses_ = has_addresses_ || hosts.size() > 1;
+            node_.members().add_platform_hosts(hosts);
+        }
+        pause(platform_list_ms);
+    }
+}
+
+auto config_feed::apply_from_peer(const std::vector<std::uint8_t>& bytes) -> bool {
+    const auto delta = parse_delta_cbor(bytes);
+    if (!delta) {
+        count(counter::drop_peer_message);
+        return false;
     }
-    return config;
+    return host_.keeper.apply_delta(*delta);
 }
 
-auto start_config_feed(host_state& host, store_client store) -> std::thread {
-    return std::thread([&host, client = std::move(store)] { run_feed(host, client); });
+// Called by the keeper in order of revision, whichever thread applied the change.
+auto config_feed::publish(const snapshot_ptr& next) -> void {
+    host_.config.store(next);
+    write_log(log_event::configuration_applied,
+              {{"host", host_.options.text("name")}, {"revision", std::to_string(next->revision)}});
+    mesh_.announce();
 }
 
 }  // namespace agatepost
