--- a/rig/store_standin.cpp
+++ b/rig/store_standin.cpp
@@ -677,6 +677,7 @@
         server_->is_stopping = true;
     }
     server_->changed.notify_all();
+    ::shutdown(server_->acceptor.native_handle(), SHUT_RDWR);  // wakes the accepting thread
     server_->accept_thread.join();
     server_->reap(true);
     auto ignored = error_code{};
