--- a/rig/report.cpp
+++ b/rig/report.cpp
@@ -49,6 +49,7 @@
               {"p99", number(done.ideal.all_flows.p99)},
               {"p99_requests", number(done.ideal.request_flows.p99)}}},
             {"control_bytes_per_s_per_host", number(done.control_bytes_per_s)},
+            {"late_to_draining", done.late_to_draining},
             {"packets", done.packets},
             {"stray_packets", done.stray_packets},
             {"malformed_packets", done.malformed},
--- a/rig/run_base.h
+++ b/rig/run_base.h
@@ -1,10 +1,13 @@
 // One run: hosts as processes, the fabric, clients and targets, a scenario's timed actions and the measures.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "checker_func.h"
@@ -12,6 +15,8 @@
 #include "host_process_base.h"
 #include "load_endpoint_base.h"
 #include "measure_base.h"
+#include "store/store_base.h"
+#include "store_standin.h"
 #include "targets_base.h"
 #include "world_base.h"
 
@@ -26,12 +31,14 @@
     std::uint64_t seed = 1;
     std::string placement = "carried";
     std::string binary = "build/agatepost";
-    std::optional<double> duration_s;    // of the measured part
-    std::optional<int> feeds;            // open feeds in all zones
-    double rate = 1;                     // factor on the scenario's request rates
-    int hosts = 5;                       // in each zone
-    std::int64_t list_lag_ms = 500;      // until the fabric's list notices a host's death or stop
-    std::int64_t client_latency_ms = 3;  // one way
+    std::optional<double> duration_s;     // of the measured part
+    std::optional<int> feeds;             // open feeds in all zones
+    double rate = 1;                      // factor on the scenario's request rates
+    std::optional<std::int64_t> work_ms;  // of a request, in place of the scenario's
+    int hosts = 5;                        // in each zone
+    std::int64_t list_lag_ms = 500;       // until the fabric's list notices a host's death or stop
+    std::int64_t client_latency_ms = 3;   // one way
+    bool has_store = false;               // configuration from the store stand-in, not from a file
     fabric_faults faults;
     bool is_json_only = false;
     bool keeps_logs = false;
@@ -67,6 +74,7 @@
     balance ideal;
     std::optional<double> control_bytes_per_s;
     std::optional<double> recovery_s;
+    std::uint64_t late_to_draining = 0;  // new flows at a target 3 s or more after it began to drain
     std::uint64_t packets = 0;
     std::uint64_t stray_packets = 0;    // from hosts, to nobody's address
     std::uint64_t malformed = 0;        // from hosts, with wrong headers or checksums
@@ -95,12 +103,18 @@
     auto pause_host(std::size_t i) -> void;  // SIGSTOP
     auto resume_host(std::size_t i) -> void;
     auto start_host(std::size_t i) -> void;  // listed once it forwards
-    // Calls `then` once the host's process has ended.
-    auto when_ended(std::size_t i, std::function<void()> then) -> void;
+    // Calls `then` once the condition holds, unless the measured part has ended.
+    auto when(std::function<bool()> condition, std::function<void()> then) -> void;
+    // Whether the fabric sprays packets to a host.
+    auto is_listed(std::size_t i) const -> bool;
     // Writes the configuration that hosts started from now on read. Running hosts see it only with a store.
     auto write_configuration() -> void;
-    // Takes a target out of the configuration's ready targets.
+    // Takes a target out of the configuration's ready targets: changes the store's document by
+    // compare-and-swap, from a thread of its own, or the file that later hosts read.
     auto drain_target(std::size_t i) -> void;
+    // Changes a profile's document in the store by compare-and-swap.
+    auto change_profile(const std::string& name, const std::function<void(nlohmann::json&)>& change) -> void;
+    auto store() -> store_standin& { return store_; }
     // Ends the run as failed.
     auto fail(std::string reason) -> void;
 
@@ -131,11 +145,19 @@
     auto finish_flows() -> void;
     auto open_feeds() -> void;
     auto arrive(traffic& load, double elapsed_s) -> void;
+    auto start_store(const ip_address& address) -> result<void>;
+    // Changes one document of the store. A lost answer is settled by reading back.
+    auto change_document(const std::string& key, const std::function<void(nlohmann::json&)>& change) -> void;
     auto control_bytes() const -> std::optional<double>;
     auto check_hosts() -> void;
     auto log_path(const run_host& host) const -> std::string;
 
     load_endpoint loads_endpoint_;
+    store_standin store_;
+    endpoint store_address_;
+    store_client operator_;                // the rig's own connection, as an operator
+    std::vector<std::thread> operations_;  // operators' changes, joined at the end
+    std::atomic<int> failed_operations_{0};
     std::string directory_;
     bool has_traffic_ = false;
     std::vector<std::pair<double, std::function<void()>>> planned_;  // actions added before the measured part
