--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -16,8 +16,8 @@
 constexpr int exit_usage = 2;
 
 auto usage() -> int {
-    std::cerr << "usage: rig list | rig demo [--flag=value ...] | rig run --scenario=NAME [--flag=value ...] "
-                 "| rig store\n"
+    std::cerr << "usage: rig list | rig store --listen=ADDRESS | rig demo [--flag=value ...] | rig run "
+                 "--scenario=NAME [--flag=value ...]\n"
                  "'rig run --help' lists the flags\n";
     return exit_usage;
 }
@@ -42,11 +42,14 @@
     add("duration", "seconds of the measured part", cxxopts::value<double>());
     add("feeds", "open feeds", cxxopts::value<int>());
     add("rate", "factor on the request rates", cxxopts::value<double>()->default_value("1"));
+    add("work", "ms of work of a request, at the same share of busy slots", cxxopts::value<std::int64_t>());
     add("hosts", "hosts in each zone", cxxopts::value<int>()->default_value("5"));
     add("list-lag", "ms until the fabric's list notices a host's end",
         cxxopts::value<std::int64_t>()->default_value("500"));
     add("client-latency", "ms one way between clients and hosts",
         cxxopts::value<std::int64_t>()->default_value("3"));
+    add("store", "file or etcd; the default is what the scenario needs",
+        cxxopts::value<std::string>()->default_value(""));
     add("loss", "share of packets that the fabric loses", cxxopts::value<double>()->default_value("0"));
     add("reorder", "share of packets that the fabric delays", cxxopts::value<double>()->default_value("0"));
     add("duplicate", "share of TCP packets that the fabric doubles",
@@ -70,10 +73,16 @@
     if (parsed.count("feeds") != 0) {
         options.feeds = parsed["feeds"].as<int>();
     }
+    if (parsed.count("work") != 0) {
+        options.work_ms = parsed["work"].as<std::int64_t>();
+    }
     options.rate = parsed["rate"].as<double>();
     options.hosts = parsed["hosts"].as<int>();
     options.list_lag_ms = parsed["list-lag"].as<std::int64_t>();
     options.client_latency_ms = parsed["client-latency"].as<std::int64_t>();
+    const auto store = parsed["store"].as<std::string>();
+    options.has_store =
+        store.empty() ? options.plan != nullptr && options.plan->needs_store : store == "etcd";
     options.faults.loss = parsed["loss"].as<double>();
     options.faults.reorder = parsed["reorder"].as<double>();
     options.faults.duplicate = parsed["duplicate"].as<double>();
@@ -132,6 +141,9 @@
         if (command == "list") {
             return run_list();
         }
+        if (command == "store") {
+            return agatepost::run_store_command({argv + 2, argv + argc});
+        }
         if (command == "run" || command == "demo") {
             return run_command(argc - 1, argv + 1, command == "demo");
         }
--- a/rig/run.cpp
+++ b/rig/run.cpp
@@ -9,7 +9,8 @@
 #include <fstream>
 
 #include "core/clock_type.h"
-#include "http_func.h"
+#include "host/admin_client_func.h"
+#include "metric_func.h"
 #include "mix_func.h"
 #include "net/geneve_func.h"
 #include "scenario_base.h"
@@ -26,9 +27,11 @@
 constexpr std::int64_t ramp_limit_ms = 30000;   // for the feeds to open
 constexpr double feeds_opened_per_s = 4000;
 constexpr std::size_t verified_each_step = 20;
-constexpr int admin_limit_ms = 300;
 constexpr double recovery_limit = 0.03;  // avoidable wait of the design's `burst` target
 constexpr int address_attempts = 16;
+constexpr std::int64_t drain_limit_ms = 3000;  // design, what must always hold
+constexpr int store_attempts = 100;
+constexpr auto store_retry_pause = std::chrono::milliseconds(100);
 
 std::atomic<bool> is_interrupted{false};
 
@@ -84,6 +87,9 @@
 }
 
 rig_run::~rig_run() {
+    for (auto& operation : operations_) {
+        operation.join();
+    }
     hosts.clear();
     if (failures_.empty() && !options.keeps_logs && !directory_.empty()) {
         auto failed = std::error_code{};
@@ -124,8 +130,20 @@
     if (!fabric_address) {
         return tl::unexpected<error>(fabric_address.error());
     }
+    // The hosts inherit the key of their messages and admin ports.
+    auto key = std::string(64, '0');
+    for (auto& digit : key) {
+        digit = "0123456789abcdef"[shared.random() % 16];
+    }
+    ::setenv("AGATEPOST_KEY", key.c_str(), 1);
     directory_ = std::filesystem::temp_directory_path() / ("agatepost-rig-" + std::to_string(::getpid()));
     std::filesystem::create_directories(directory_);
+    if (options.has_store) {
+        auto store = start_store(fabric_address->address);
+        if (!store) {
+            return store;
+        }
+    }
     auto addresses = std::vector<ip_address>{};
     auto reports = std::vector<std::shared_ptr<load_report>>{};
     for (const auto& one : servers.all) {
@@ -156,13 +174,67 @@
     return {};
 }
 
+auto rig_run::start_store(const ip_address& address) -> result<void> {
+    const auto listening = store_.start(endpoint{address, 0});
+    if (!listening) {
+        return tl::unexpected<error>(listening.error());
+    }
+    store_address_ = *listening;
+    const auto settings = read_settings({"--store-address=" + to_text(store_address_)});
+    auto client = plugin_registry<store_plugin>::instance().find("etcd")->open(*settings);
+    if (!client) {
+        return tl::unexpected<error>(client.error());
+    }
+    operator_ = std::move(*client);
+    return {};
+}
+
 auto rig_run::write_configuration() -> void {
+    const auto document = configuration_document(shared.workload, specs, zone_rule::local);
+    if (options.has_store) {
+        for (const auto& list : document.items()) {
+            const auto kind = list.key().substr(0, list.key().size() - 1);
+            for (const auto& object : list.value()) {
+                const auto key = std::string(config_prefix) + kind + "/" + object["name"].get<std::string>();
+                const auto written = operator_.write(key, 0, object.dump());
+                if (!written) {
+                    fail(key + ": " + to_text(written.error()));
+                }
+            }
+        }
+        return;
+    }
     const auto path = directory_ + "/configuration.json";
     // Written aside and renamed, so that a host that starts now never reads half a document.
-    std::ofstream(path + ".new") << configuration_document(shared.workload, specs, zone_rule::local).dump(1);
+    std::ofstream(path + ".new") << document.dump(1);
     std::filesystem::rename(path + ".new", path);
 }
 
+auto rig_run::change_document(const std::string& key, const std::function<void(nlohmann::json&)>& change)
+    -> void {
+    operations_.emplace_back([this, key, change] {
+        for (auto attempt = 0; attempt < store_attempts && !is_interrupted; ++attempt) {
+            const auto current = operator_.read(key);
+            if (current && *current) {
+                auto document = nlohmann::json::parse((*current)->value);
+                const auto before = document;
+                change(document);
+                // Equal after a lost answer or when another operator made the same change.
+                if (document == before || operator_.write(key, (*current)->revision, document.dump())) {
+                    return;
+                }
+            }
+            std::this_thread::sleep_for(store_retry_pause);
+        }
+        ++failed_operations_;
+    });
+}
+
+auto rig_run::change_profile(const std::string& name, const std::function<void(nlohmann::json&)>& change)
+    -> void {
+    change_document(std::string(config_prefix) + "profile/" + name, change);
+}
+
 auto rig_run::launch(std::size_t i) -> result<void> {
     auto& host = hosts[i];
     auto peers = std::string();
@@ -175,12 +247,14 @@
     fabric_address.port = 6080;
     host.is_forwarding = false;
     host.is_wanted = true;
+    const auto store = options.has_store ? "--store-address=" + to_text(store_address_)
+                                         : "--config-file=" + directory_ + "/configuration.json";
     return host.process->start(
         {options.binary, "serve", "--name=" + host.name, "--zone=" + host.zone,
          "--data-address=" + to_text(host.data), "--peer-address=" + to_text(host.peer),
          "--admin-address=" + to_text(host.admin), "--fabric-address=" + to_text(fabric_address),
          "--peers=" + peers, "--placement=" + options.placement, "--vni=" + std::to_string(vni),
-         "--store=file", "--config-file=" + directory_ + "/configuration.json"},
+         options.has_store ? "--store=etcd" : "--store=file", store},
         log_path(host));
 }
 
@@ -302,20 +376,34 @@
     list_when_forwarding(i);
 }
 
-auto rig_run::when_ended(std::size_t i, std::function<void()> then) -> void {
-    shared.timers.add(shared.now_ms + probe_interval_ms, [this, i, then = std::move(then)] {
-        if (hosts[i].process->is_running()) {
-            when_ended(i, then);
-        } else {
-            then();
-        }
-    });
+auto rig_run::when(std::function<bool()> condition, std::function<void()> then) -> void {
+    shared.timers.add(shared.now_ms + probe_interval_ms,
+                      [this, condition = std::move(condition), then = std::move(then)] {
+                          if (!has_traffic_) {
+                              return;
+                          }
+                          if (condition()) {
+                              then();
+                          } else {
+                              when(condition, then);
+                          }
+                      });
+}
+
+auto rig_run::is_listed(std::size_t i) const -> bool {
+    return shared.net.hosts[i].is_listed;
 }
 
 auto rig_run::drain_target(std::size_t i) -> void {
     specs[i].object.state = target_state::draining;
     servers.all[i]->is_ready = false;
-    write_configuration();
+    servers.all[i]->drained_ms = shared.now_ms;
+    if (options.has_store) {
+        change_document(std::string(config_prefix) + "target/" + specs[i].object.name,
+                        [](nlohmann::json& document) { document["state"] = "draining"; });
+    } else {
+        write_configuration();
+    }
 }
 
 auto rig_run::arrive(traffic& load, double elapsed_s) -> void {
@@ -409,17 +497,24 @@
 }
 
 auto rig_run::control_bytes() const -> std::optional<double> {
+    const auto settings = read_settings({});
+    const auto keys = auth_keys_of(*settings).value_or(auth_keys{});
     auto sum = 0.0;
+    auto total = 0.0;
     for (const auto& host : hosts) {
-        const auto page = host.is_wanted ? http_get(host.admin, "/metrics", admin_limit_ms) : std::nullopt;
+        if (!host.is_wanted) {
+            continue;
+        }
+        const auto page = ask_admin(host.admin, "/metrics", keys);
         const auto sent = page ? metric_value(*page, "control_bytes_sent") : std::nullopt;
         const auto received = page ? metric_value(*page, "control_bytes_received") : std::nullopt;
         if (!sent || !received) {
             return std::nullopt;
         }
         sum += *sent + *received;
+        total += 1;
     }
-    return sum / static_cast<double>(hosts.size());
+    return total > 0 ? std::optional<double>(sum / total) : std::nullopt;
 }
 
 auto rig_run::start_hosts() -> result<void> {
@@ -486,6 +581,9 @@
     if (is_interrupted) {
         fail("interrupted");
     }
+    if (failed_operations_ > 0) {
+        fail("an operator's change was not accepted");
+    }
     auto done = run_result{};
     done.found = check(shared.events);
     done.measured = sampler_.result(servers.arrivals, start_ms_, end_ms_);
@@ -497,6 +595,10 @@
         done.recovery_s =
             seconds_to_recover(servers.arrivals, start_ms_, *fault_ms_, end_ms_, recovery_limit);
     }
+    done.late_to_draining = servers.late_to_draining(drain_limit_ms);
+    if (options.has_store && done.late_to_draining > 0) {
+        fail("a draining target received new flows after " + std::to_string(drain_limit_ms) + " ms");
+    }
     done.packets = shared.net.counts().to_hosts;
     done.stray_packets = stray_;
     done.malformed = shared.net.counts().malformed;
--- a/rig/targets.cpp
+++ b/rig/targets.cpp
@@ -100,6 +100,7 @@
 auto targets::note_arrival(target_server& one, bool is_request) -> std::size_t {
     auto arrival = flow_arrival{};
     arrival.time_ms = world_.now_ms;
+    arrival.target = one.number;
     arrival.group = group_of(one);
     arrival.is_request = is_request;
     if (is_request && one.unfinished >= static_cast<int>(one.spec.object.slots)) {
@@ -328,6 +329,14 @@
     }
 }
 
+auto targets::late_to_draining(std::int64_t limit_ms) const -> std::uint64_t {
+    return static_cast<std::uint64_t>(
+        std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& arrival) {
+            const auto drained_ms = all[arrival.target]->drained_ms;
+            return drained_ms >= 0 && arrival.time_ms > drained_ms + limit_ms;
+        }));
+}
+
 auto targets::publish_reports() -> void {
     for (auto& one : all) {
         one->report->slots_busy = one->busy;
--- a/rig/targets_base.h
+++ b/rig/targets_base.h
@@ -49,6 +49,7 @@
     bool is_dead = false;            // neither sends nor receives
     bool is_shedding = false;        // answers SYN with a reset
     bool is_ready = true;            // takes part in the measures of imbalance and avoidable wait
+    std::int64_t drained_ms = -1;    // when an operator began to drain it; -1: not draining
     std::int64_t slow_until_ms = 0;  // cold start: work takes slow_factor times as long
     double slow_factor = 4;
     int busy = 0;        // slots that work
@@ -64,7 +65,8 @@
     std::int64_t time_ms = 0;
     std::int64_t end_ms = -1;    // -1: still open
     std::int64_t queued_ms = 0;  // part of the time that was spent waiting for a slot
-    std::size_t group = 0;       // pool and zone
+    std::uint16_t target = 0;
+    std::size_t group = 0;  // pool and zone
     bool is_request = false;
     bool is_avoidable = false;  // found all slots busy while another target of the group had one free
 };
@@ -89,6 +91,9 @@
     // Publishes what the load endpoints answer.
     auto publish_reports() -> void;
 
+    // Returns how many flows were opened at draining targets more than `limit_ms` after the drain began.
+    auto late_to_draining(std::int64_t limit_ms) const -> std::uint64_t;
+
     // Returns pool and zone of a target as one number.
     auto group_of(const target_server& one) const -> std::size_t;
     // Pools in each zone; the mix's first pool of a zone is a group whose number is a multiple of this.
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -175,7 +175,7 @@
 }
 
 auto membership::resume_after_pause(time_ms at) -> void {
-    write_log(log_event::host_resumed, {{"host", options_.self.name}});
+    write_log(log_event::host_resumed);
     owed_ = {};
     relayed_.clear();
     // Suspicions would all have run out during the pause, without the suspects having had a chance.
@@ -465,7 +465,7 @@
 auto membership::set_state(member& who, member_state state, time_ms at) -> void {
     if (state == member_state::dead && who.state != member_state::dead) {
         count(counter::hosts_died);
-        write_log(log_event::host_died, {{"host", options_.self.name}, {"dead", who.host.name}});
+        write_log(log_event::host_died, {{"dead", who.host.name}});
     }
     who.state = state;
     who.since = at;
--- a/tests/peer_process_test.cpp
+++ b/tests/peer_process_test.cpp
@@ -45,6 +45,7 @@
             file_descriptor(::open(log_path_.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600));
         pid_ = ::fork();
         if (pid_ == 0) {
+            ::setenv("AGATEPOST_KEY", std::string(64, 'a').c_str(), 1);
             ::dup2(log.value(), STDOUT_FILENO);
             ::dup2(log.value(), STDERR_FILENO);
             ::execv(pointers[0], pointers.data());
@@ -177,7 +178,7 @@
             std::vector<std::string>{"--peer-address=" + to_text(peers_[i]), "--data-address=" + data,
                                      "--store=etcd", "--store-address=" + to_text(store_.address),
                                      "--peers=" + to_text(peers_[0]) + "," + to_text(peers_[1]),
-                                     "--key=" + std::string(64, 'a'), "--stop-limit=2000"});
+                                     "--admin-address=127.0.0.1:0", "--stop-limit=2000"});
     }
 
     // Writes a new version of one object.
