--- a/src/cmd/serve_cmd.cpp
+++ b/src/cmd/serve_cmd.cpp
@@ -183,11 +183,11 @@
     const auto start = now();
     const auto signals = block_stop_signals();
     auto parts = host_parts{};
-    const auto opened = open_parts(host, parts);
+    auto opened = open_parts(host, parts);
     if (!opened) {
         return opened;
     }
-    const auto started = start_parts(host, parts);
+    auto started = start_parts(host, parts);
     if (started) {
         write_log(log_event::host_started, {{"data", host.options.text("data-address")}});
         record_history(history_kind::host, {{"event", "started"}});
--- a/src/host/config_feed.cpp
+++ b/src/host/config_feed.cpp
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/counter_func.h"
+#include "core/history_func.h"
 #include "core/log_func.h"
 #include "flow/hash_func.h"
 #include "host/config_feed_func.h"
@@ -109,9 +110,9 @@
     auto next_missing = start_ + missing_after_ms;
     while (!is_done_) {
         if (must_watch()) {
-            write_log(log_event::watch_started, {{"host", host_.options.text("name")}});
+            write_log(log_event::watch_started);
             follow_store(store_, host_.keeper, [this] { return !must_watch(); });
-            write_log(log_event::watch_ended, {{"host", host_.options.text("name")}});
+            write_log(log_event::watch_ended);
         }
         if (host_.config.load()->revision == 0 && now() >= next_missing) {
             next_missing = now() + missing_every_ms;
@@ -150,8 +151,8 @@
 // Called by the keeper in order of revision, whichever thread applied the change.
 auto config_feed::publish(const snapshot_ptr& next) -> void {
     host_.config.store(next);
-    write_log(log_event::configuration_applied,
-              {{"host", host_.options.text("name")}, {"revision", std::to_string(next->revision)}});
+    write_log(log_event::configuration_applied, {{"revision", std::to_string(next->revision)}});
+    record_history(history_kind::configuration, {{"revision", std::to_string(next->revision)}});
     mesh_.announce();
 }
 
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -2,6 +2,7 @@
 #include <cmath>
 
 #include "core/counter_func.h"
+#include "core/history_func.h"
 #include "core/log_func.h"
 #include "flow/hash_func.h"
 #include "peer/membership_base.h"
@@ -175,7 +176,8 @@
 }
 
 auto membership::resume_after_pause(time_ms at) -> void {
-    write_log(log_event::host_resumed, {{"host", options_.self.name}});
+    write_log(log_event::host_resumed);
+    record_history(history_kind::membership, {{"event", "resumed"}});
     owed_ = {};
     relayed_.clear();
     // Suspicions would all have run out during the pause, without the suspects having had a chance.
@@ -465,7 +467,8 @@
 auto membership::set_state(member& who, member_state state, time_ms at) -> void {
     if (state == member_state::dead && who.state != member_state::dead) {
         count(counter::hosts_died);
-        write_log(log_event::host_died, {{"host", options_.self.name}, {"dead", who.host.name}});
+        write_log(log_event::host_died, {{"dead", who.host.name}});
+        record_history(history_kind::membership, {{"event", "died"}, {"dead", who.host.name}});
     }
     who.state = state;
     who.since = at;
--- a/src/peer/peer_node.cpp
+++ b/src/peer/peer_node.cpp
@@ -149,8 +149,7 @@
         const auto view = view_.load();
         if (view->version != logged) {
             logged = view->version;
-            write_log(log_event::view_changed, {{"host", view->self},
-                                                {"version", std::to_string(view->version)},
+            write_log(log_event::view_changed, {{"version", std::to_string(view->version)},
                                                 {"total", std::to_string(view->hosts.size())},
                                                 {"hosts", first_names(*view)}});
         }
