--- a/src/host/config_feed.cpp
+++ b/src/host/config_feed.cpp
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/counter_func.h"
+#include "core/history_func.h"
 #include "core/log_func.h"
 #include "flow/hash_func.h"
 #include "host/config_feed_func.h"
@@ -151,6 +152,7 @@
 auto config_feed::publish(const snapshot_ptr& next) -> void {
     host_.config.store(next);
     write_log(log_event::configuration_applied, {{"revision", std::to_string(next->revision)}});
+    record_history(history_kind::configuration, {{"revision", std::to_string(next->revision)}});
     mesh_.announce();
 }
 
