--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -10,3 +10,6 @@
 LOG_EVENT(200, configuration_applied, info, "a newer configuration is in force")
 LOG_EVENT(201, configuration_rejected, error, "a configuration document was not applied")
 LOG_EVENT(202, configuration_missing, warning, "no configuration from the store or a peer yet; new flows are refused")
+LOG_EVENT(400, silent_flow_reset, warning, "a silent flow was reset at both ends; at most one event a second, the counter silent_reset has the total")
+LOG_EVENT(401, chooser_started, info, "this host became the chooser of a pool")
+LOG_EVENT(402, chooser_handed_over, info, "this host is no longer the chooser of a pool and sent its counts to the next")
