Fix: [flow] Slots inherited by a new chooser are freed, and leaving hosts may relay

Closes that reach the previous chooser during a handover are lost to the next one, so inherited slots stayed busy; and SYNs relayed by a leaving host were dropped as from an unknown host. Change: inherited slots of request flows halve every 500 ms; relays are accepted from hosts that departed lately; the rig reports the hosts' reason counters.

--- a/rig/report.cpp
+++ b/rig/report.cpp
@@ -55,6 +55,7 @@
             {"malformed_packets", done.malformed},
             {"longest_step_ms", done.longest_step_ms},
             {"seconds_to_recover", number(done.recovery_s)},
+            {"reasons", done.reasons},
             {"failures", done.failures}};
 }
 
--- a/rig/run.cpp
+++ b/rig/run.cpp
@@ -346,12 +346,14 @@
 }
 
 auto rig_run::kill_host(std::size_t i) -> void {
+    note_reasons(hosts[i]);
     hosts[i].is_wanted = false;
     hosts[i].process->signal(SIGKILL);
     shared.timers.add(shared.now_ms + options.list_lag_ms, [this, i] { set_listed(i, false); });
 }
 
 auto rig_run::stop_host(std::size_t i) -> void {
+    note_reasons(hosts[i]);
     hosts[i].is_wanted = false;
     hosts[i].process->signal(SIGTERM);
     shared.timers.add(shared.now_ms + options.list_lag_ms, [this, i] { set_listed(i, false); });
@@ -517,6 +519,14 @@
     return total > 0 ? std::optional<double>(sum / total) : std::nullopt;
 }
 
+auto rig_run::note_reasons(const run_host& host) -> void {
+    const auto settings = read_settings({});
+    const auto keys = auth_keys_of(*settings).value_or(auth_keys{});
+    if (const auto page = ask_admin(host.admin, "/metrics", keys)) {
+        add_reasons(*page, reasons_);
+    }
+}
+
 auto rig_run::start_hosts() -> result<void> {
     write_configuration();
     for (auto i = std::size_t{0}; i < hosts.size(); ++i) {
@@ -578,6 +588,11 @@
     step_until(end_ms_ - start_ms_ + 1000, [&] { return now().value >= end_ms_; });
     const auto bytes_after = control_bytes();
     finish_flows();
+    for (const auto& host : hosts) {
+        if (host.is_wanted) {
+            note_reasons(host);
+        }
+    }
     if (is_interrupted) {
         fail("interrupted");
     }
@@ -603,6 +618,7 @@
     done.stray_packets = stray_;
     done.malformed = shared.net.counts().malformed;
     done.longest_step_ms = longest_step_ms_;
+    done.reasons = reasons_;
     done.failures = failures_;
     return done;
 }
--- a/rig/run_base.h
+++ b/rig/run_base.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -76,9 +77,11 @@
     std::optional<double> recovery_s;
     std::uint64_t late_to_draining = 0;  // new flows at a target 3 s or more after it began to drain
     std::uint64_t packets = 0;
-    std::uint64_t stray_packets = 0;    // from hosts, to nobody's address
-    std::uint64_t malformed = 0;        // from hosts, with wrong headers or checksums
-    std::int64_t longest_step_ms = 0;   // of the event loop; tells whether the rig itself kept up
+    std::uint64_t stray_packets = 0;   // from hosts, to nobody's address
+    std::uint64_t malformed = 0;       // from hosts, with wrong headers or checksums
+    std::int64_t longest_step_ms = 0;  // of the event loop; tells whether the rig itself kept up
+    std::map<std::string, std::uint64_t>
+        reasons;                        // the hosts' counters of refusals, retries, drops and resets
     std::vector<std::string> failures;  // what kept the run from going as planned
 };
 
@@ -149,6 +152,8 @@
     // Changes one document of the store. A lost answer is settled by reading back.
     auto change_document(const std::string& key, const std::function<void(nlohmann::json&)>& change) -> void;
     auto control_bytes() const -> std::optional<double>;
+    // Adds a host's counters to the result; called before a host ends.
+    auto note_reasons(const run_host& host) -> void;
     auto check_hosts() -> void;
     auto log_path(const run_host& host) const -> std::string;
 
@@ -167,6 +172,7 @@
     balance_sampler sampler_;
     std::uint64_t stray_ = 0;
     std::int64_t longest_step_ms_ = 0;
+    std::map<std::string, std::uint64_t> reasons_;
     std::vector<std::string> failures_;
 };
 
--- a/src/flow/chooser.cpp
+++ b/src/flow/chooser.cpp
@@ -41,6 +41,10 @@
 constexpr std::int64_t unreachable_age_ms = 10000;
 // Share of the inherited count that one lower report can remove; at least one flow.
 constexpr std::uint32_t inherited_step_divisor = 10;
+// Inherited slots of request flows halve in this time. Closes that went to the previous chooser during the
+// handover never reach this one, and slots held by them would refuse new flows; requests are short, so that
+// two seconds later the count is close to the truth either way.
+constexpr std::int64_t inherited_half_life_ms = 500;
 constexpr double slow_start_share = 0.1;
 // One of the 16 shards is scanned at each pause, so an entry expires at most 1.6 s late.
 constexpr std::int64_t scan_pause_ms = 100;
@@ -559,6 +563,16 @@
     }
 }
 
+auto pool_chooser::decay_inherited(time_ms at) -> void {
+    if (at < next_decay_) {
+        return;
+    }
+    next_decay_ = at + inherited_half_life_ms;
+    for (auto& s : slots_) {
+        s.inherited[0] /= 2;
+    }
+}
+
 auto pool_chooser::expire(time_ms at) -> std::vector<syn_retry> {
     const auto lock = std::lock_guard(mutex_);
     if (refilled_at_.value != 0 && retry_tokens_ < retry_floor_tokens) {
@@ -571,6 +585,7 @@
     }
     auto retries = std::vector<syn_retry>{};
     expire_half_open(at, retries);
+    decay_inherited(at);
     if (at >= next_scan_) {
         expire_shard(at);
         next_scan_ = at + scan_pause_ms;
--- a/src/flow/chooser_base.h
+++ b/src/flow/chooser_base.h
@@ -234,6 +234,7 @@
     auto sum_outside(time_ms at) -> void;
     static auto used_of(const slot& s, std::size_t kind) -> std::uint32_t;
     auto expire_half_open(time_ms at, std::vector<syn_retry>& retries) -> void;
+    auto decay_inherited(time_ms at) -> void;
     auto expire_shard(time_ms at) -> void;
     auto status_locked(time_ms at) const -> pool_status;
 
@@ -250,6 +251,7 @@
     absl::flat_hash_map<std::string, outside_counts> outside_;  // by owner host
     std::size_t next_shard_ = 0;
     time_ms next_scan_;
+    time_ms next_decay_;  // of inherited slots
     double retry_tokens_;
     time_ms refilled_at_;
     std::minstd_rand random_;
--- a/src/host/forward.cpp
+++ b/src/host/forward.cpp
@@ -697,7 +697,7 @@
 
 auto forward_packet(const forward_context& context, const received_packet& received, packet_sink& sink)
     -> void {
-    if (received.relay != relay_reason::none && !is_known_data_address(*context.view, received.sender)) {
+    if (received.relay != relay_reason::none && !is_relay_address(*context.view, received.sender)) {
         count(counter::drop_unknown_peer);
         return;
     }
--- a/src/peer/host_view.cpp
+++ b/src/peer/host_view.cpp
@@ -25,4 +25,9 @@
                        [&](const host_record& host) { return host.data == address; });
 }
 
+auto is_relay_address(const host_view& view, const endpoint& address) -> bool {
+    return is_known_data_address(view, address) ||
+           std::find(view.departed.begin(), view.departed.end(), address) != view.departed.end();
+}
+
 }  // namespace agatepost
--- a/src/peer/host_view_type.h
+++ b/src/peer/host_view_type.h
@@ -28,10 +28,14 @@
 struct host_view {
     std::uint64_t version = 0;  // rises with each change
     std::vector<host_record> hosts;
+    // Data addresses of hosts that are leaving or were declared dead, until membership forgets them. They may
+    // still relay packets: a leaving host forwards until the fabric has dropped it, and a verdict can be
+    // wrong.
+    std::vector<endpoint> departed;
     std::string self;
 
     friend auto operator==(const host_view& a, const host_view& b) -> bool {
-        return a.version == b.version && a.hosts == b.hosts && a.self == b.self;
+        return a.version == b.version && a.hosts == b.hosts && a.departed == b.departed && a.self == b.self;
     }
 };
 
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -491,6 +491,8 @@
     for (const auto& [name, who] : members_) {
         if (contains_live(who.state)) {
             next->hosts.push_back(who.host);
+        } else {
+            next->departed.push_back(who.host.data);
         }
     }
     if (!is_leaving_) {
--- a/src/peer/mesh.cpp
+++ b/src/peer/mesh.cpp
@@ -37,7 +37,7 @@
             chosen.push_back(*peer);
         }
     }
-    auto outside = host_view{0, contacts, view.self};
+    auto outside = host_view{0, contacts, {}, view.self};
     const auto* peer = host_of_rank(outside, own_hash, 0);
     if (peer != nullptr) {
         chosen.push_back(*peer);
--- a/tests/flow_chooser_test.cpp
+++ b/tests/flow_chooser_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(bad_marks_are_ignored_when_most_targets_look_bad);
     CPPUNIT_TEST(reserve_is_closed_to_lower_priorities);
     CPPUNIT_TEST(inherited_counts_fall_once_for_each_close);
+    CPPUNIT_TEST(inherited_slots_whose_closes_were_lost_are_free_within_two_seconds);
     CPPUNIT_TEST(half_closed_and_idle_flows_expire);
     CPPUNIT_TEST(false_reports_neither_empty_nor_flood_a_target);
     CPPUNIT_TEST(new_target_starts_slowly);
@@ -265,6 +266,22 @@
         }
     }
 
+    // Closes that reach the previous chooser during a handover are lost to the next one, which then refused
+    // new flows for lack of capacity.
+    auto inherited_slots_whose_closes_were_lost_are_free_within_two_seconds() -> void {
+        constexpr std::int64_t recovery_limit_ms = 2000;
+        auto chooser = pool_chooser("p", "z", 7);
+        auto previous = pool_counts{};
+        previous[1] = {3, 1000};
+        chooser.inherit(previous);
+        chooser.configure(*test_pool(1).build(), 0, start_);
+        for (auto elapsed = std::int64_t{0}; elapsed <= recovery_limit_ms; elapsed += 100) {
+            (void)chooser.expire(start_ + elapsed);
+        }
+        CPPUNIT_ASSERT_EQUAL(0U, chooser.counts()[1].slots_busy);
+        CPPUNIT_ASSERT_EQUAL(1000U, chooser.counts()[1].connections);
+    }
+
     auto half_closed_and_idle_flows_expire() -> void {
         auto pool = test_pool(2);
         pool.request.idle_timeout_ms = 300000;
--- a/tests/flow_forward_test.cpp
+++ b/tests/flow_forward_test.cpp
@@ -131,6 +131,10 @@
         CPPUNIT_ASSERT_EQUAL(before + 1, counter_value(counter::drop_unknown_peer));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                              zone.deliver_relayed(0, syn, relay_reason::open, zone.address(1)).size());
+        // A leaving host goes on forwarding after the others dropped it from the list of live hosts.
+        zone.views[0].departed.push_back(at("127.0.0.8:6081"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             zone.deliver_relayed(0, syn, relay_reason::open, at("127.0.0.8:6081")).size());
     }
 
     auto unknown_index_is_refused_and_never_placed() -> void {
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -58,7 +58,7 @@
 auto test_zone::set_alive(std::size_t host, bool alive) -> void {
     alive_[host] = alive;
     ++version_;
-    views.assign(alive_.size(), host_view{version_, {}, ""});
+    views.assign(alive_.size(), host_view{version_, {}, {}, ""});
     for (auto i = std::size_t{0}; i < alive_.size(); ++i) {
         views[i].self = "h" + std::to_string(i);
         for (auto j = std::size_t{0}; j < alive_.size(); ++j) {
