Feature: [flow] Requests may wait at targets, and reserves are taken from the pool's sum

Change: profile field queue_percent (default 100): requests that may wait at a target, as a share of its slots; none for profiles that a higher priority holds a reserve against. Reserves apply within one kind of flow and to the sum over the zone's usable targets. The rig has overload with two priorities, overload-alone, and the share served by service.

--- a/rig/checker.cpp
+++ b/rig/checker.cpp
@@ -15,6 +15,9 @@
     bool is_ended_by_fault = false;  // reset or timed out
     bool is_excused = false;
     bool has_moved = false;
+    bool is_unopened = false;
+    bool lacks_answer = false;
+    std::uint16_t service = 0;
     std::uint32_t target = 0;  // of the first request that was run, plus 1
 };
 
@@ -76,6 +79,7 @@
     switch (event.kind) {
         case event_kind::flow_established:
             facts.flows[event.flow].is_established = true;
+            facts.flows[event.flow].service = event.service;
             break;
         case event_kind::flow_refused:
             if (event.request != 0) {
@@ -83,10 +87,13 @@
                 ++found.refused;
             } else {
                 facts.flows[event.flow].is_refused = true;
+                facts.flows[event.flow].service = event.service;
             }
             break;
         case event_kind::flow_unopened:
             ++found.unopened;
+            facts.flows[event.flow].is_unopened = true;
+            facts.flows[event.flow].service = event.service;
             break;
         case event_kind::flow_reset:
         case event_kind::flow_timed_out:
@@ -122,6 +129,11 @@
     for (const auto& [id, flow] : facts.flows) {
         found.flows += flow.is_established || flow.is_refused ? 1 : 0;
         found.refused += flow.is_refused ? 1 : 0;
+        if (flow.is_established || flow.is_refused || flow.is_unopened) {
+            auto& one = found.services[flow.service];
+            ++one.flows;
+            one.served += flow.is_established && !flow.is_ended_by_fault && !flow.lacks_answer ? 1 : 0;
+        }
         if (!flow.is_excused && ((flow.is_established && flow.is_ended_by_fault) || flow.has_moved)) {
             ++found.broken;
             note_example(found, flow.has_moved ? "flow changed target:" : "broken:", id, 0);
@@ -173,6 +185,11 @@
     for (const auto& event : events) {
         take_event(event, facts, found);
     }
+    for (const auto& [id, request] : facts.requests) {
+        if (request.is_sent && !request.is_complete) {
+            facts.flows[request.flow].lacks_answer = true;
+        }
+    }
     judge_flows(facts, found);
     for (const auto& [id, request] : facts.requests) {
         const auto flow = facts.flows.find(request.flow);
--- a/rig/checker_func.h
+++ b/rig/checker_func.h
@@ -1,6 +1,7 @@
 // Finds what must not happen in a recorded history.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -8,6 +9,12 @@
 
 namespace agatepost::rig {
 
+// Flows of one service.
+struct service_findings {
+    std::uint64_t flows = 0;   // established, refused or not answered
+    std::uint64_t served = 0;  // established and not broken, with a whole answer to each request
+};
+
 // What the checker counts. All but the first group are faults.
 struct findings {
     std::uint64_t flows = 0;           // established or refused
@@ -23,7 +30,8 @@
     std::uint64_t lost = 0;            // requests without an answer whose flow neither broke nor was refused
     std::uint64_t false_refusals = 0;  // refused as not run, but run
 
-    std::vector<std::string> examples;  // the first few faults, for a person
+    std::map<std::uint16_t, service_findings> services;  // by service number
+    std::vector<std::string> examples;                   // the first few faults, for a person
 
     auto has_faults() const -> bool {
         return broken + misdelivered + doubled + cut + lost + false_refusals != 0;
--- a/rig/mix.cpp
+++ b/rig/mix.cpp
@@ -14,16 +14,18 @@
     static const std::array<mix, 2> all = {
         mix{"tracker",
             {{"tracker", 14, 3}, {"attachments", 4, 3}},
-            {{"filing", 0, flow_kind::request, 0, ip_protocol::tcp, 50, 2000, 0.4},
+            {{"filing", 0, flow_kind::request, 0, ip_protocol::tcp, 50, 2000, 0.4, 10},
              {"board", 0, flow_kind::feed, 4, ip_protocol::tcp, 0, 100, 0},
              {"attachments", 1, flow_kind::request, 4, ip_protocol::tcp, 50, 60000, 0.3},
-             {"crash-ping", 1, flow_kind::request, 4, ip_protocol::udp, 10, 400, 0.1}}},
+             {"crash-ping", 1, flow_kind::request, 4, ip_protocol::udp, 10, 400, 0.1},
+             {"browse", 0, flow_kind::request, 4, ip_protocol::tcp, 50, 2000, 0}}},
         mix{"advisory",
             {{"desk", 14, 2}, {"archive", 4, 2}},
             {{"notes", 0, flow_kind::request, 4, ip_protocol::tcp, 50, 2000, 0.4},
              {"alerts", 0, flow_kind::feed, 0, ip_protocol::tcp, 0, 100, 0},
              {"reports", 1, flow_kind::request, 4, ip_protocol::tcp, 50, 60000, 0.3},
-             {"sensor-ping", 1, flow_kind::request, 4, ip_protocol::udp, 10, 400, 0.1}}},
+             {"sensor-ping", 1, flow_kind::request, 4, ip_protocol::udp, 10, 400, 0.1},
+             {"alert-check", 0, flow_kind::request, 0, ip_protocol::tcp, 50, 2000, 0, 10}}},
     };
     return all;
 }
@@ -45,6 +47,7 @@
     p.priority = service.priority;
     p.kind = service.kind;
     p.zones = zones;
+    p.reserve_percent = service.reserve_percent;
     return p;
 }
 
--- a/rig/mix_type.h
+++ b/rig/mix_type.h
@@ -25,6 +25,7 @@
     std::int64_t work_ms = 0;       // of one request
     std::uint32_t answer_size = 0;  // bytes
     double slot_share = 0;          // share of the pool's slots that its requests keep busy by default
+    int reserve_percent = 0;        // kept from requests of lower priority
 };
 
 // The workload of one user.
--- a/rig/report.cpp
+++ b/rig/report.cpp
@@ -23,6 +23,17 @@
         << meaning << "\n";
 }
 
+// Share of each service's flows that got all they asked for.
+auto served_json(const run_options& options, const run_result& done) -> json {
+    auto shares = json::object();
+    for (const auto& [service, found] : done.found.services) {
+        shares[options.workload->services[service].name] = {
+            {"flows", found.flows},
+            {"share", number(static_cast<double>(found.served) / static_cast<double>(found.flows))}};
+    }
+    return shares;
+}
+
 }  // namespace
 
 auto report_json(const run_options& options, const run_result& done) -> json {
@@ -55,6 +66,7 @@
             {"malformed_packets", done.malformed},
             {"longest_step_ms", done.longest_step_ms},
             {"seconds_to_recover", number(done.recovery_s)},
+            {"served", served_json(options, done)},
             {"reasons", done.reasons},
             {"failures", done.failures}};
 }
--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -34,7 +34,7 @@
 auto add_usual_requests(rig_run& run) -> void {
     for (auto i = std::size_t{0}; i < run.shared.workload.services.size(); ++i) {
         const auto& part = run.shared.workload.services[i];
-        if (part.kind == flow_kind::request && part.protocol == ip_protocol::tcp) {
+        if (part.kind == flow_kind::request && part.protocol == ip_protocol::tcp && part.slot_share > 0) {
             add_requests(run, i, part.slot_share, part.work_ms);
         }
     }
@@ -136,8 +136,26 @@
     add_requests(run, main_request_service(run), 0.7, burst_work_ms);
 }
 
+// Twice the capacity of the first pool: the highest priority asks for 70% of it, the others for the rest.
 auto plan_overload(rig_run& run) -> void {
-    add_requests(run, main_request_service(run), 2, burst_work_ms);
+    constexpr auto urgent_share = 0.7;
+    const auto& services = run.shared.workload.services;
+    for (auto i = std::size_t{0}; i < services.size(); ++i) {
+        if (services[i].pool == 0 && services[i].kind == flow_kind::request) {
+            add_requests(run, i, services[i].priority == 0 ? urgent_share : 2 - urgent_share, burst_work_ms);
+        }
+    }
+}
+
+// The part of an overload that has the highest priority, alone: what it would get.
+auto plan_overload_alone(rig_run& run) -> void {
+    plan_overload(run);
+    auto& loads = run.loads;
+    loads.erase(std::remove_if(loads.begin(), loads.end(),
+                               [&](const traffic& load) {
+                                   return run.shared.workload.services[load.service].priority != 0;
+                               }),
+                loads.end());
 }
 
 auto plan_cold_start(rig_run& run) -> void {
@@ -332,6 +350,8 @@
         {"burst", "200 ms of work on 70% of the slots, on top of 20,000 feeds", 10, 20000, 1, false,
          plan_burst},
         {"overload", "requests for twice the slots", 10, 3000, 1, false, plan_overload},
+        {"overload-alone", "the highest priority of overload, without the rest", 10, 3000, 1, false,
+         plan_overload_alone},
         {"cold-start", "a target dies and starts again, slow at first", 12, 3000, 1, false, plan_cold_start},
         {"misleading-load", "some targets report a false load", 10, 3000, 1, false, plan_misleading_load},
         {"target-death", "a target dies with its flows", 10, 3000, 1, false, plan_target_death},
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -105,6 +105,7 @@
     reader.number("slot_limit_percent", p.slot_limit_percent, 1, 100);
     reader.number("connection_limit_percent", p.connection_limit_percent, 1, 100);
     reader.number("reserve_percent", p.reserve_percent, 0, 90);
+    reader.number("queue_percent", p.queue_percent, 0, 1000);
     reader.number("idle_timeout_ms", p.idle_timeout_ms, 1000, 7 * day_ms);
     reader.number("silence_timeout_ms", p.silence_timeout_ms, 500, day_ms);
     reader.number("drain_timeout_ms", p.drain_timeout_ms, 0, 7 * day_ms);
@@ -164,6 +165,7 @@
             {"slot_limit_percent", p.slot_limit_percent},
             {"connection_limit_percent", p.connection_limit_percent},
             {"reserve_percent", p.reserve_percent},
+            {"queue_percent", p.queue_percent},
             {"idle_timeout_ms", p.idle_timeout_ms},
             {"silence_timeout_ms", p.silence_timeout_ms},
             {"drain_timeout_ms", p.drain_timeout_ms},
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -38,7 +38,8 @@
     flow_kind kind = flow_kind::request;
     int slot_limit_percent = 100;        // share of a target's slots that this profile may use
     int connection_limit_percent = 100;  // share of a target's connections that this profile may use
-    int reserve_percent = 0;             // share of each target kept for this and higher priorities
+    int reserve_percent = 0;             // share of the pool kept for this and higher priorities
+    int queue_percent = 100;             // request flows that may wait at a target, as a share of its slots
     std::int64_t idle_timeout_ms = 3600000;
     std::int64_t silence_timeout_ms = 10000;
     std::int64_t drain_timeout_ms = 600000;
@@ -48,7 +49,7 @@
     std::int64_t slow_start_ms = 10000;
 
     auto tie() const {
-        return std::tie(name, priority, kind, slot_limit_percent, connection_limit_percent, reserve_percent,
+        return std::tie(name, priority, kind, slot_limit_percent, connection_limit_percent, reserve_percent, queue_percent,
                         idle_timeout_ms, silence_timeout_ms, drain_timeout_ms, retry_budget_percent,
                         syn_timeout_ms, zones, slow_start_ms);
     }
--- a/src/flow/chooser.cpp
+++ b/src/flow/chooser.cpp
@@ -140,7 +140,7 @@
     closed_share_percent_.assign(rules_.size(), 0);
     for (auto i = std::size_t{0}; i < rules_.size(); ++i) {
         for (const auto& other : in_use) {
-            if (other.priority < rules_[i].priority) {
+            if (other.priority < rules_[i].priority && other.kind == rules_[i].kind) {
                 closed_share_percent_[i] = std::max(closed_share_percent_[i], other.reserve_percent);
             }
         }
@@ -187,10 +187,16 @@
     return std::clamp(grown, slow_start_share, 1.0);
 }
 
+// Flows of all profiles together that a target may have before a flow of these rules is refused. Flows wait
+// at a target only for the sake of profiles that nobody has a reserve against: a queue of lower priority
+// would make the reserve worthless.
 auto pool_chooser::limit_of(const slot& s, std::uint16_t rules) const -> std::uint32_t {
     const auto capacity = capacity_of(s.object, rules_[rules].kind);
-    const auto reserved = share_rounded_up(capacity, closed_share_percent_[rules]);
-    return capacity - std::min(capacity, reserved);
+    const auto& p = rules_[rules];
+    if (p.kind != flow_kind::request || closed_share_percent_[rules] > 0) {
+        return capacity;
+    }
+    return capacity + share_rounded_up(capacity, p.queue_percent);
 }
 
 auto pool_chooser::used_of(const slot& s, std::size_t kind) -> std::uint32_t {
@@ -220,7 +226,7 @@
         view.fault = candidate_fault::not_ready;
     } else if (!ignore_marks && is_bad(s, at)) {
         view.fault = candidate_fault::passed_over;
-    } else if (used >= limit || own >= own_limit) {
+    } else if (used >= limit || (percent < 100 && own >= own_limit)) {
         view.fault = candidate_fault::at_limit;
     } else if (share < 1 && used >= std::ceil(limit * share)) {
         view.fault = candidate_fault::slow_start;
@@ -228,6 +234,28 @@
     return view;
 }
 
+// Whether the room that is left in a zone's usable targets is reserved for higher priorities. The reserve is
+// taken from the sum over the targets: a share of each target would close one of two slots where a tenth is
+// meant.
+auto pool_chooser::is_rest_reserved(std::uint16_t rules, bool is_local, bool ignore_marks, time_ms at) const
+    -> bool {
+    if (closed_share_percent_[rules] == 0) {
+        return false;
+    }
+    auto capacity = 0U;
+    auto room = 0U;
+    for (const auto& s : slots_) {
+        if (!s.is_present || s.object.state != target_state::ready || (s.object.zone == zone_) != is_local ||
+            (!ignore_marks && is_bad(s, at))) {
+            continue;
+        }
+        const auto own = capacity_of(s.object, rules_[rules].kind);
+        capacity += own;
+        room += own - std::min(own, used_of(s, kind_position(rules_[rules])));
+    }
+    return room <= share_rounded_up(capacity, closed_share_percent_[rules]);
+}
+
 auto pool_chooser::pick(std::uint16_t rules, const std::vector<std::uint8_t>& tried, time_ms at,
                         counter& reason) -> std::uint8_t {
     const auto ignore_marks = are_marks_ignored(at);
@@ -235,6 +263,10 @@
         if (!is_local && rules_[rules].zones != zone_rule::prefer_local) {
             break;
         }
+        if (is_rest_reserved(rules, is_local, ignore_marks, at)) {
+            reason = counter::refuse_no_capacity;
+            continue;
+        }
         std::uint8_t best = 0;
         auto best_load = 0.0;
         auto equal = 0U;
--- a/src/flow/chooser_base.h
+++ b/src/flow/chooser_base.h
@@ -221,6 +221,7 @@
     auto are_marks_ignored(time_ms at) const -> bool;
     auto share_of(const slot& s, const profile& rules, time_ms at) const -> double;
     auto judge(const slot& s, std::uint16_t rules, bool ignore_marks, time_ms at) const -> candidate_view;
+    auto is_rest_reserved(std::uint16_t rules, bool is_local, bool ignore_marks, time_ms at) const -> bool;
     auto limit_of(const slot& s, std::uint16_t rules) const -> std::uint32_t;
     auto pick(std::uint16_t rules, const std::vector<std::uint8_t>& tried, time_ms at, counter& reason)
         -> std::uint8_t;
--- a/tests/flow_chooser_test.cpp
+++ b/tests/flow_chooser_test.cpp
@@ -89,6 +89,8 @@
     CPPUNIT_TEST(only_the_first_answering_target_is_connected);
     CPPUNIT_TEST(bad_marks_are_ignored_when_most_targets_look_bad);
     CPPUNIT_TEST(reserve_is_closed_to_lower_priorities);
+    CPPUNIT_TEST(reserve_holds_against_waiting_and_only_within_its_kind);
+    CPPUNIT_TEST(full_target_takes_as_many_waiting_flows_as_the_profile_says);
     CPPUNIT_TEST(inherited_counts_fall_once_for_each_close);
     CPPUNIT_TEST(inherited_slots_whose_closes_were_lost_are_free_within_two_seconds);
     CPPUNIT_TEST(half_closed_and_idle_flows_expire);
@@ -232,6 +234,7 @@
         pool.feed.kind = flow_kind::request;
         pool.feed.priority = 0;
         pool.feed.reserve_percent = 30;
+        pool.feed.queue_percent = 0;
         auto chooser = pool_chooser("p", "z", 7);
         chooser.configure(*pool.build(), 0, start_);
         for (auto n = 0; n < 4; ++n) {
@@ -245,6 +248,40 @@
         CPPUNIT_ASSERT_EQUAL(0, int{open(chooser, 7, start_, "f")});
     }
 
+    // A reserve that low priorities could use, directly or by waiting in a queue, protects nobody. A reserve
+    // of feeds must not refuse requests: they use connections and slots, which do not stand in for each
+    // other.
+    auto reserve_holds_against_waiting_and_only_within_its_kind() -> void {
+        auto pool = test_pool(1);
+        pool.request.priority = 0;
+        pool.request.reserve_percent = 30;
+        pool.feed.priority = 0;
+        pool.feed.reserve_percent = 90;
+        auto chooser = pool_chooser("p", "z", 7);
+        chooser.configure(*pool.build(), 0, start_);
+        CPPUNIT_ASSERT(open(chooser, 0, start_, "l") != 0);
+        CPPUNIT_ASSERT(open(chooser, 1, start_, "l") != 0);
+        const auto refused = chooser.open(id_of_number(2), "l", 2, syn.data(), syn.size(), start_);
+        CPPUNIT_ASSERT_EQUAL(0, int{refused.target});
+        CPPUNIT_ASSERT(refused.reason == counter::refuse_no_capacity);
+        CPPUNIT_ASSERT(open(chooser, 3, start_) != 0);
+        CPPUNIT_ASSERT_EQUAL(0, int{open(chooser, 4, start_)});
+        CPPUNIT_ASSERT(open(chooser, 5, start_, "f") != 0);
+    }
+
+    // A burst that fills all slots for a moment waits at the targets instead of being refused, up to the
+    // limit.
+    auto full_target_takes_as_many_waiting_flows_as_the_profile_says() -> void {
+        auto pool = test_pool(1);
+        pool.request.queue_percent = 100;
+        auto chooser = pool_chooser("p", "z", 7);
+        chooser.configure(*pool.build(), 0, start_);
+        for (auto n = 0; n < 6; ++n) {
+            CPPUNIT_ASSERT(open(chooser, n, start_) != 0);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, int{open(chooser, 6, start_)});
+    }
+
     auto inherited_counts_fall_once_for_each_close() -> void {
         auto chooser = pool_chooser("p", "z", 7);
         auto previous = pool_counts{};
--- a/tests/flow_test_func.h
+++ b/tests/flow_test_func.h
@@ -28,12 +28,16 @@
 struct test_pool {
     profile request;
     profile feed;
+    profile low;  // requests of low priority, service 10.9.0.1:82
     std::vector<target> targets;
     std::uint64_t revision = 1;
 
     explicit test_pool(int total, std::uint32_t slots = 3) {
         request.name = "r";
+        request.queue_percent = 0;
         feed.name = "f";
+        low.name = "l";
+        low.priority = 7;
         feed.kind = flow_kind::feed;
         for (auto i = 1; i <= total; ++i) {
             auto t = target{};
@@ -53,6 +57,8 @@
         config.entries["profile/f"] = {1, feed};
         config.entries["service/r"] = {1, service{"r", at("10.9.0.1:80"), ip_protocol::tcp, "p", 8080, "r"}};
         config.entries["service/f"] = {1, service{"f", at("10.9.0.1:81"), ip_protocol::tcp, "p", 8081, "f"}};
+        config.entries["profile/l"] = {1, low};
+        config.entries["service/l"] = {1, service{"l", at("10.9.0.1:82"), ip_protocol::tcp, "p", 8082, "l"}};
         config.entries["service/u"] = {1, service{"u", at("10.9.0.1:53"), ip_protocol::udp, "p", 5353, "f"}};
         for (const auto& t : targets) {
             config.entries["target/" + t.name] = {1, t};
