Cleanup: [peer, rig, tests] One message authentication, one packet builder

src/peer had its own keys, codes and random bytes beside those of src/core, and tests/ built packets with code of its own beside rig/. Two versions of one format can drift apart.

Peers use auth_keys, compute_mac and verify_mac of core, with the labels agatepost-datagram and agatepost-link, so that a code of one use is not valid for another. Codes between hosts are now 32 bytes, not 16. A previous key without a current one is refused for every command that reads keys. The two ends of the rig's TCP share the start of a handshake. 64-bit loads and stores stand in byte_order_func.h only.

--- a/rig/packet_build_func.h
+++ b/rig/packet_build_func.h
@@ -1,4 +1,4 @@
-// Builds the IPv4 packets of the rig's clients and targets.
+// Builds IPv4 and IPv6 packets for the rig, the tests and the benchmarks.
 #pragma once
 
 #include <cstdint>
@@ -26,6 +26,7 @@
     std::uint32_t acknowledgment = 0;
     std::uint8_t flags = 0;
     std::optional<tcp_timestamps> timestamps;
+    std::size_t leading_nops = 2;  // 2 is what common stacks send; other numbers move the timestamp option
 };
 
 // Builds a TCP packet with valid checksums.
--- a/rig/tcp.cpp
+++ b/rig/tcp.cpp
@@ -232,6 +232,17 @@
     emit_ack(tcp, now_ms, out);
 }
 
+// Sends the first segment of a side and arms its retransmission.
+auto start_handshake(tcp_connection& tcp, std::uint32_t initial_sequence, std::int64_t now_ms,
+                     tcp_output& out) -> void {
+    tcp.timestamp_offset = initial_sequence * 2654435761U;  // any value that differs between connections
+    tcp.send_unacked = initial_sequence;
+    tcp.send_next = tcp.send_highest = initial_sequence + 1;
+    tcp.retransmit_ms = syn_retransmit_ms;
+    emit_handshake(tcp, now_ms, out);
+    arm(tcp, now_ms);
+}
+
 }  // namespace
 
 auto tcp_connect(const endpoint& local, const endpoint& remote, bool timestamps,
@@ -241,12 +252,7 @@
     tcp.remote = remote;
     tcp.state = tcp_state::syn_sent;
     tcp.timestamps = timestamps;
-    tcp.timestamp_offset = initial_sequence * 2654435761U;  // any value that differs between connections
-    tcp.send_unacked = initial_sequence;
-    tcp.send_next = tcp.send_highest = initial_sequence + 1;
-    tcp.retransmit_ms = syn_retransmit_ms;
-    emit_handshake(tcp, now_ms, out);
-    arm(tcp, now_ms);
+    start_handshake(tcp, initial_sequence, now_ms, out);
     return tcp;
 }
 
@@ -261,13 +267,8 @@
         tcp.timestamp_recent = load_u32(packet + syn.timestamp_offset);
         tcp.timestamp_recent_ms = now_ms;
     }
-    tcp.timestamp_offset = initial_sequence * 2654435761U;
     tcp.receive_start = tcp.receive_next = syn.tcp_sequence + 1;
-    tcp.send_unacked = initial_sequence;
-    tcp.send_next = tcp.send_highest = initial_sequence + 1;
-    tcp.retransmit_ms = syn_retransmit_ms;
-    emit_handshake(tcp, now_ms, out);
-    arm(tcp, now_ms);
+    start_handshake(tcp, initial_sequence, now_ms, out);
     return tcp;
 }
 
--- a/src/core/message_auth.cpp
+++ b/src/core/message_auth.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <vector>
 
 #include "core/message_auth_func.h"
 
@@ -56,6 +55,10 @@
     if (!previous) {
         return tl::unexpected<error>(previous.error());
     }
+    if (!*current && *previous) {
+        return make_error(error_kind::invalid_setting, "--key-previous is set without --key",
+                          "set AGATEPOST_KEY, the key used for sending");
+    }
     return auth_keys{*current, *previous};
 }
 
@@ -92,11 +95,22 @@
     return status == 0 && size * 2 == hex.size() ? std::optional<std::string>(bytes) : std::nullopt;
 }
 
-auto random_hex(std::size_t size) -> std::string {
+auto compute_digest(byte_span message) -> std::array<std::uint8_t, 32> {
+    ensure_sodium();
+    auto digest = std::array<std::uint8_t, 32>{};
+    crypto_generichash(digest.data(), digest.size(), message.data(), message.size(), nullptr, 0);
+    return digest;
+}
+
+auto random_bytes(std::size_t size) -> std::string {
     ensure_sodium();
-    auto bytes = std::vector<std::uint8_t>(size);
-    randombytes_buf(bytes.data(), bytes.size());
-    return to_hex(bytes);
+    auto bytes = std::string(size, '\0');
+    randombytes_buf(bytes.data(), size);
+    return bytes;
+}
+
+auto random_hex(std::size_t size) -> std::string {
+    return to_hex(bytes_of(random_bytes(size)));
 }
 
 }  // namespace agatepost
--- a/src/core/message_auth_func.h
+++ b/src/core/message_auth_func.h
@@ -6,7 +6,9 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <tuple>
 
 #include "core/error_type.h"
 #include "core/settings_func.h"
@@ -18,6 +20,7 @@
 
 // A message authentication code: HMAC-SHA512-256 (libsodium's crypto_auth).
 using message_mac = std::array<std::uint8_t, 32>;
+constexpr std::size_t mac_size = std::tuple_size<message_mac>::value;
 
 // The keys a process accepts. New codes are computed with `current`; `previous` is accepted during a
 // rotation.
@@ -37,7 +40,13 @@
 // Parses 64 hexadecimal digits. The error does not repeat the text, because it may be a mistyped key.
 auto parse_auth_key(std::string_view hex) -> result<auth_key>;
 
-// Returns the keys of the settings `key` and `key-previous`; an empty setting is no key.
+// Returns whether messages are authenticated at all.
+inline auto has_key(const auth_keys& keys) -> bool {
+    return keys.current.has_value();
+}
+
+// Returns the keys of the settings `key` and `key-previous`; an empty setting is no key. A previous key alone
+// is error_kind::invalid_setting: the process could not sign.
 auto auth_keys_of(const settings& options) -> result<auth_keys>;
 
 // Computes the code of a message. Different uses of one key must begin their messages with different labels,
@@ -48,11 +57,17 @@
 // code. False if no key is set or `mac` has the wrong length.
 auto verify_mac(const auth_keys& keys, byte_span message, byte_span mac) -> bool;
 
+// Returns the unkeyed BLAKE2b digest of a message.
+auto compute_digest(byte_span message) -> std::array<std::uint8_t, 32>;
+
 // Hexadecimal text of bytes, lower case, and back; an empty optional if the text is not an even number of
 // hexadecimal digits.
 auto to_hex(byte_span bytes) -> std::string;
 auto from_hex(std::string_view hex) -> std::optional<std::string>;
 
+// Returns random bytes.
+auto random_bytes(std::size_t size) -> std::string;
+
 // Returns `size` random bytes as hexadecimal text.
 auto random_hex(std::size_t size) -> std::string;
 
--- a/src/host/forward_messages.cpp
+++ b/src/host/forward_messages.cpp
@@ -60,10 +60,6 @@
     store_u32(&out[at + 12], static_cast<std::uint32_t>(id.low));
 }
 
-auto load_u64(const std::uint8_t* p) -> std::uint64_t {
-    return (static_cast<std::uint64_t>(load_u32(p)) << 32U) | load_u32(p + 4);
-}
-
 auto load_id(const std::uint8_t* p) -> flow_id {
     return {load_u64(p), load_u64(p + 8)};
 }
@@ -500,8 +496,7 @@
         auto& items = by_host[name];
         const auto at = items.size();
         items.resize(at + 9);
-        store_u32(&items[at], static_cast<std::uint32_t>(one.id_high >> 32U));
-        store_u32(&items[at + 4], static_cast<std::uint32_t>(one.id_high));
+        store_u64(&items[at], one.id_high);
         items[at + 8] = one.target;
         if (items.size() >= exceptions_by_message * 9) {
             flush(name, items);
--- a/src/peer/datagram.cpp
+++ b/src/peer/datagram.cpp
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-datagram_socket::datagram_socket(file_descriptor socket, const endpoint& local, const peer_keys& keys,
+datagram_socket::datagram_socket(file_descriptor socket, const endpoint& local, const auth_keys& keys,
                                  std::function<bool(const endpoint& peer)> is_blocked)
     : socket_(std::move(socket)),
       keys_(keys),
--- a/src/peer/datagram_base.h
+++ b/src/peer/datagram_base.h
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "net/socket_func.h"
-#include "peer/peer_mac_func.h"
+#include "peer/datagram_auth_base.h"
 
 namespace agatepost {
 
@@ -23,7 +23,7 @@
 class datagram_socket {
 public:
     // `is_blocked` is for tests of partitions: datagrams to and from such addresses are dropped.
-    datagram_socket(file_descriptor socket, const endpoint& local, const peer_keys& keys,
+    datagram_socket(file_descriptor socket, const endpoint& local, const auth_keys& keys,
                     std::function<bool(const endpoint& peer)> is_blocked);
 
     // Encodes and sends. A message over datagram_limit or one that the socket does not take is counted and
@@ -35,7 +35,7 @@
 
 private:
     file_descriptor socket_;
-    peer_keys keys_;
+    auth_keys keys_;
     datagram_checker checker_;
     std::function<bool(const endpoint& peer)> is_blocked_;
 };
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -240,23 +240,25 @@
         }
         peer_ = *peer;
         peer_hello_ = frame;
-        session_ = is_outgoing_ ? compute_digest({own_hello_, peer_hello_})
-                                : compute_digest({peer_hello_, own_hello_});
+        const auto& first = is_outgoing_ ? own_hello_ : peer_hello_;
+        const auto& second = is_outgoing_ ? peer_hello_ : own_hello_;
+        // CBOR documents end by themselves, so their concatenation stands for one pair of hellos only.
+        session_ = to_hex(compute_digest(bytes_of(first + second)));
         write_sealed(encode({{"y", "proof"}}));
     }
 
     auto receive_sealed(const std::string& frame) -> void {
         const auto& keys = owner_.options_.keys;
         auto payload = std::string_view(frame);
-        if (!keys.accepted.empty()) {
+        if (has_key(keys)) {
             if (payload.size() < mac_size) {
                 reject(counter::peer_link_rejected);
                 return;
             }
             const auto mac = payload.substr(payload.size() - mac_size);
             payload.remove_suffix(mac_size);
-            const auto position = position_of(!is_outgoing_, received_);
-            if (!is_valid_mac(keys, {session_, position, payload}, mac)) {
+            const auto text = signed_text(!is_outgoing_, received_, payload);
+            if (!verify_mac(keys, bytes_of(text), bytes_of(mac))) {
                 reject(counter::peer_link_rejected);
                 return;
             }
@@ -281,16 +283,22 @@
         owner_.options_.on_message(name(), type, message.at("b"));
     }
 
-    // Direction and number of a frame, which its code covers.
-    static auto position_of(bool is_from_client, std::uint64_t number) -> std::string {
-        return (is_from_client ? "c" : "s") + std::to_string(number);
+    // The authenticated text of a frame: session, direction, number and payload. Its label keeps codes of
+    // datagrams and of the admin port from being valid here.
+    auto signed_text(bool is_from_client, std::uint64_t number, std::string_view payload) const
+        -> std::string {
+        auto text =
+            "agatepost-link\n" + session_ + (is_from_client ? "\nc" : "\ns") + std::to_string(number) + "\n";
+        text.append(payload);
+        return text;
     }
 
     auto write_sealed(std::string payload) -> void {
         const auto& keys = owner_.options_.keys;
-        if (!keys.accepted.empty()) {
-            payload +=
-                compute_mac(keys.accepted.front(), {session_, position_of(is_outgoing_, sent_), payload});
+        if (has_key(keys)) {
+            const auto text = signed_text(is_outgoing_, sent_, payload);
+            const auto mac = compute_mac(*keys.current, bytes_of(text));
+            payload.append(mac.begin(), mac.end());
         }
         ++sent_;
         write(payload);
--- a/src/peer/peer_link_base.h
+++ b/src/peer/peer_link_base.h
@@ -13,16 +13,16 @@
 #include <thread>
 #include <vector>
 
+#include "core/message_auth_func.h"
 #include "net/socket_func.h"
 #include "peer/host_view_type.h"
-#include "peer/peer_mac_func.h"
 
 namespace agatepost {
 
 // What links need. The functions are called on the links' threads.
 struct peer_link_options {
     host_record self;
-    peer_keys keys;
+    auth_keys keys;
     std::function<void(const std::string& sender, const std::string& type, const nlohmann::json& body)>
         on_message;
     // Called when a link to a host is ready for messages.
--- a/src/peer/peer_node.cpp
+++ b/src/peer/peer_node.cpp
@@ -28,7 +28,7 @@
 
 auto read_peer_node_options(const settings& options) -> result<peer_node_options> {
     auto node = peer_node_options{};
-    auto keys = read_peer_keys(options);
+    auto keys = auth_keys_of(options);
     if (!keys) {
         return tl::unexpected<error>(keys.error());
     }
@@ -100,7 +100,7 @@
 }
 
 auto peer_node::start() -> result<void> {
-    if (options_.keys.accepted.empty()) {
+    if (!has_key(options_.keys)) {
         write_log(log_event::messages_unauthenticated,
                   {{"remedy", "set AGATEPOST_KEY to the same 64 hexadecimal digits on all hosts"}});
     }
--- a/src/peer/peer_node_base.h
+++ b/src/peer/peer_node_base.h
@@ -16,7 +16,7 @@
 // What a node is made with.
 struct peer_node_options {
     membership_options member;
-    peer_keys keys;
+    auth_keys keys;
     // For tests of partitions: returns whether traffic with this peer address is dropped.
     std::function<bool(const endpoint& peer)> is_blocked;
 };
--- a/tests/peer_fleet.h
+++ b/tests/peer_fleet.h
@@ -40,8 +40,8 @@
 }
 
 // A key of one repeated byte.
-inline auto key_of(unsigned char byte) -> peer_key {
-    auto key = peer_key{};
+inline auto key_of(unsigned char byte) -> auth_key {
+    auto key = auth_key{};
     key.fill(byte);
     return key;
 }
@@ -56,7 +56,7 @@
         std::vector<host_view> history;
     };
 
-    explicit peer_fleet(std::size_t total, const peer_keys& keys = {{key_of(1)}}) {
+    explicit peer_fleet(std::size_t total, const auth_keys& keys = {key_of(1), {}}) {
         for (auto i = std::size_t{0}; i < total; ++i) {
             hosts.push_back(std::make_unique<host>());
             hosts.back()->peer = free_address(10 + i);
@@ -78,7 +78,7 @@
 
     static auto name_of(std::size_t i) -> std::string { return "h" + std::to_string(i); }
 
-    auto open(std::size_t i, const peer_keys& keys, const std::string& zone = "z") -> void {
+    auto open(std::size_t i, const auth_keys& keys, const std::string& zone = "z") -> void {
         auto options = peer_node_options{};
         auto& self = options.member.self;
         self.name = name_of(i);
--- a/tests/peer_membership_test.cpp
+++ b/tests/peer_membership_test.cpp
@@ -85,7 +85,7 @@
         }));
         // A host that is started again under the name is a new incarnation and comes back.
         fleet.hosts[0]->node->stop();
-        fleet.open(0, {{key_of(1)}});
+        fleet.open(0, {key_of(1), {}});
         CPPUNIT_ASSERT(fleet.hosts[0]->node->start());
         CPPUNIT_ASSERT(await([&] { return fleet.agree({0, 1, 2, 3, 4}); }));
     }
@@ -133,7 +133,7 @@
 
     auto other_zone_is_contact_only() -> void {
         auto fleet = peer_fleet(4);
-        fleet.open(3, {{key_of(1)}}, "y");
+        fleet.open(3, {key_of(1), {}}, "y");
         CPPUNIT_ASSERT(fleet.start());
         CPPUNIT_ASSERT(await([&] {
             const auto contacts = fleet.hosts[1]->node->members().contacts();
@@ -146,9 +146,9 @@
     }
 
     auto keys_in_rotation_meet_and_others_stay_out() -> void {
-        auto fleet = peer_fleet(4, {{key_of(1), key_of(2)}});
-        fleet.open(1, {{key_of(2), key_of(1)}});
-        fleet.open(2, {{key_of(3)}});
+        auto fleet = peer_fleet(4, {key_of(1), key_of(2)});
+        fleet.open(1, {key_of(2), key_of(1)});
+        fleet.open(2, {key_of(3), {}});
         fleet.open(3, {});
         const auto dropped = counter_value(counter::drop_peer_mac);
         CPPUNIT_ASSERT(fleet.start());
@@ -169,10 +169,10 @@
     }
 
     auto datagram_is_accepted_once_in_time_by_its_receiver() -> void {
-        const auto keys = peer_keys{{key_of(1), key_of(2)}};
+        const auto keys = auth_keys{key_of(1), key_of(2)};
         const auto at = std::int64_t{1700000000000};
         auto checker = datagram_checker(keys, "here");
-        const auto datagram = seal_datagram({{key_of(2)}}, "here", at, "text");
+        const auto datagram = seal_datagram({key_of(2), {}}, "here", at, "text");
         CPPUNIT_ASSERT(*checker.open(datagram, at) == "text");
         CPPUNIT_ASSERT(checker.open(datagram, at).error() == counter::drop_peer_replay);
         // The code is remembered for as long as its time is accepted.
--- a/tests/peer_mesh_test.cpp
+++ b/tests/peer_mesh_test.cpp
@@ -192,7 +192,7 @@
 
     auto host_with_wrong_key_gets_no_link() -> void {
         auto fleet = peer_fleet(2);
-        fleet.open(1, {{key_of(9)}});
+        fleet.open(1, {key_of(9), {}});
         auto is_reached = std::atomic<bool>{false};
         fleet.hosts[0]->node->channel().subscribe(
             "text", [&](const std::string&, const nlohmann::json&) { is_reached = true; });
