Fix: [peer, rig] Includes, empty payloads and a check that stood twice

The shared packet builder passed a null payload to memcpy, which the packet tests' sanitizer run reported; it copies by iterators now. The check for a previous key without a current one is that of read_settings, which has its test, so auth_keys_of no longer repeats it. Headers that came in through peer_mac_func.h and the old test builder are included where they are used.

--- a/rig/packet_build.cpp
+++ b/rig/packet_build.cpp
@@ -84,7 +84,7 @@
         store_u32(option + 2, fields.timestamps->value);
         store_u32(option + 6, fields.timestamps->echo);
     }
-    std::memcpy(tcp + header_size, payload.data(), payload.size());
+    std::copy(payload.begin(), payload.end(), tcp + header_size);
     finish_packet(packet, ip_protocol::tcp, fields.source, 16);
     return packet;
 }
@@ -94,7 +94,7 @@
     auto packet = start_packet(ip_protocol::udp, source, destination, udp_header_size + payload.size());
     auto* udp = packet.data() + ip_header_size(source);
     store_u16(udp + 4, static_cast<std::uint16_t>(udp_header_size + payload.size()));
-    std::memcpy(udp + udp_header_size, payload.data(), payload.size());
+    std::copy(payload.begin(), payload.end(), udp + udp_header_size);
     finish_packet(packet, ip_protocol::udp, source, 6);
     return packet;
 }
--- a/src/core/message_auth.cpp
+++ b/src/core/message_auth.cpp
@@ -55,10 +55,6 @@
     if (!previous) {
         return tl::unexpected<error>(previous.error());
     }
-    if (!*current && *previous) {
-        return make_error(error_kind::invalid_setting, "--key-previous is set without --key",
-                          "set AGATEPOST_KEY, the key used for sending");
-    }
     return auth_keys{*current, *previous};
 }
 
--- a/src/core/message_auth_func.h
+++ b/src/core/message_auth_func.h
@@ -45,8 +45,7 @@
     return keys.current.has_value();
 }
 
-// Returns the keys of the settings `key` and `key-previous`; an empty setting is no key. A previous key alone
-// is error_kind::invalid_setting: the process could not sign.
+// Returns the keys of the settings `key` and `key-previous`; an empty setting is no key.
 auto auth_keys_of(const settings& options) -> result<auth_keys>;
 
 // Computes the code of a message. Different uses of one key must begin their messages with different labels,
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -11,6 +11,7 @@
 #include <websocketpp/server.hpp>
 
 #include "core/clock_type.h"
+#include "core/counter_func.h"
 #include "core/log_func.h"
 #include "peer/peer_link_base.h"
 
--- a/tests/packet_builder.h
+++ b/tests/packet_builder.h
@@ -30,8 +30,12 @@
     if (spec.protocol != ip_protocol::tcp) {
         return rig::build_datagram(spec.source, spec.destination, payload);
     }
-    auto fields = rig::segment_fields{spec.source, spec.destination, spec.sequence, spec.acknowledgment,
-                                      spec.tcp_flags};
+    auto fields = rig::segment_fields{};
+    fields.source = spec.source;
+    fields.destination = spec.destination;
+    fields.sequence = spec.sequence;
+    fields.acknowledgment = spec.acknowledgment;
+    fields.flags = spec.tcp_flags;
     if (spec.has_timestamp) {
         fields.timestamps = rig::tcp_timestamps{spec.timestamp_value, spec.timestamp_echo};
     }
--- a/tests/packet_test.cpp
+++ b/tests/packet_test.cpp
@@ -6,6 +6,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include "net/byte_order_func.h"
+#include "net/checksum_func.h"
 #include "net/geneve_func.h"
 #include "packet_builder.h"
 
