Feature: [history, metrics] Decisions, SYN-ACK times, sizes and counters of services are recorded

History, histograms and counters of services existed and were called nowhere but at start and stop.

The chooser observes the time from the SYN to the answering target to its SYN-ACK. A worker observes one batch in 16 and one packet in 64. Refusals, late answers, unmatched ICMP errors, relayed packets that cannot be forwarded and retries count for their service.

follow_store writes watch_failed for each failed listing and for a watch that ended in an error, in place of configuration_missing.

--- a/src/config/config_keeper.cpp
+++ b/src/config/config_keeper.cpp
@@ -9,6 +9,7 @@
 
 #include "config/config_func.h"
 #include "config/config_keeper_base.h"
+#include "core/history_func.h"
 #include "core/log_func.h"
 
 namespace agatepost {
@@ -42,6 +43,8 @@
     }
     if (!parsed) {
         write_log(log_event::configuration_rejected, {{"key", key}, {"error", to_text(parsed.error())}});
+        record_history(history_kind::configuration,
+                       {{"event", "rejected"}, {"key", key}, {"error", to_text(parsed.error())}});
         read.is_readable = false;
         return read;
     }
@@ -408,7 +411,7 @@
         if (needs_listing) {
             const auto listing = store.list(prefix);
             if (!listing) {
-                write_log(log_event::configuration_missing, {{"error", to_text(listing.error())}});
+                write_log(log_event::watch_failed, {{"error", to_text(listing.error())}});
                 pause_before_retry(is_done);
                 continue;
             }
@@ -421,6 +424,7 @@
         });
         needs_listing = !watched && watched.error().kind == error_kind::revision_compacted;
         if (!watched && !needs_listing) {
+            write_log(log_event::watch_failed, {{"error", to_text(watched.error())}});
             pause_before_retry(is_done);
         }
     }
--- a/src/core/history.cpp
+++ b/src/core/history.cpp
@@ -54,7 +54,7 @@
 
 }  // namespace
 
-auto record_history(history_kind kind, std::initializer_list<log_field> fields) -> void {
+auto record_history(history_kind kind, absl::FunctionRef<history_fields()> fields) -> void {
     auto& shared = state();
     auto& limit = shared.limits[static_cast<std::size_t>(kind)];
     if (!limit.admit(now().value / 1000)) {
@@ -62,9 +62,7 @@
     }
     auto entry = history_entry{};
     entry.kind = kind;
-    for (const auto& field : fields) {
-        entry.fields.emplace_back(field.key, field.value);
-    }
+    entry.fields = fields();
     const auto lock = absl::MutexLock(&shared.mutex);
     entry.time_ms = wall_clock_ms();
     entry.left_out = limit.take_left_out();
@@ -76,6 +74,16 @@
     ring.push_back(std::move(entry));
 }
 
+auto record_history(history_kind kind, std::initializer_list<log_field> fields) -> void {
+    record_history(kind, [&] {
+        auto copied = history_fields{};
+        for (const auto& field : fields) {
+            copied.emplace_back(field.key, field.value);
+        }
+        return copied;
+    });
+}
+
 auto recent_history(std::optional<history_kind> kind) -> std::vector<history_entry> {
     auto& shared = state();
     auto entries = std::vector<history_entry>{};
--- a/src/core/history_func.h
+++ b/src/core/history_func.h
@@ -1,6 +1,8 @@
 // The newest decisions of this process, kept in memory for operators.
 #pragma once
 
+#include <absl/functional/function_ref.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,7 +16,7 @@
 
 // What a decision was about. Each kind has a ring of its own, so that a burst of one displaces no other.
 enum class history_kind : std::uint8_t {
-    host,           // start and stop of this host
+    host,           // start, stop and roles of this host
     membership,     // hosts that joined, left or died
     configuration,  // revisions applied or rejected
     health,         // verdicts about targets
@@ -41,6 +43,12 @@
 // Records a decision, displacing the oldest of its kind when its ring is full. Thread-safe.
 auto record_history(history_kind kind, std::initializer_list<log_field> fields) -> void;
 
+// Fields of a decision with their values.
+using history_fields = std::vector<std::pair<std::string, std::string>>;
+
+// As above for the data path: `fields` is called only if the rate limit admits the decision. Thread-safe.
+auto record_history(history_kind kind, absl::FunctionRef<history_fields()> fields) -> void;
+
 // Returns the kept entries in the order of recording, of one kind or all. Thread-safe.
 auto recent_history(std::optional<history_kind> kind = std::nullopt) -> std::vector<history_entry>;
 
--- a/src/flow/chooser.cpp
+++ b/src/flow/chooser.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/histogram_func.h"
+#include "core/history_func.h"
 #include "flow/chooser_base.h"
 #include "flow/hash_func.h"
 
@@ -47,6 +49,15 @@
 // Counts of an owner host that has sent none for this long are no longer added: it is gone.
 constexpr std::int64_t outside_age_ms = 3000;
 
+// Counts an event, for its service too if that is known.
+auto count_for(std::string_view service_name, counter which) -> void {
+    if (service_name.empty()) {
+        count(which);
+    } else {
+        count(which, service_name);
+    }
+}
+
 auto low_bits(time_ms at) -> std::uint32_t {
     return static_cast<std::uint32_t>(at.value);
 }
@@ -296,6 +307,12 @@
     return e;
 }
 
+auto pool_chooser::note_verdict(const slot& s, std::string_view verdict) const -> void {
+    record_history(history_kind::health, [&] {
+        return history_fields{{"pool", pool_}, {"target", s.object.name}, {"verdict", std::string(verdict)}};
+    });
+}
+
 auto pool_chooser::count_entry(entry& e) -> void {
     if ((e.flags & is_counted) == 0) {
         add(e.target, e.rules);
@@ -304,7 +321,8 @@
 }
 
 auto pool_chooser::open(const flow_id& id, std::string_view profile_name, std::uint32_t sequence,
-                        const std::uint8_t* packet, std::size_t size, time_ms at) -> open_result {
+                        const std::uint8_t* packet, std::size_t size, time_ms at,
+                        std::string_view service_name) -> open_result {
     const auto lock = std::lock_guard(mutex_);
     const auto rules = rules_of(profile_name);
     if (!rules) {
@@ -333,17 +351,21 @@
     flows[id] = entry{low_bits(at), sequence, *rules, result.target,
                       static_cast<std::uint8_t>(is_half_open | is_counted | knows_sequence)};
     if (half_open_.size() < half_open_max) {
-        auto pending = half_open{{packet, packet + size}, {result.target}, at, at + p.syn_timeout_ms};
+        auto pending = half_open{{packet, packet + size},  {result.target}, at, at + p.syn_timeout_ms, at,
+                                 std::string(service_name)};
         half_open_.insert_or_assign(id, std::move(pending));
     }
     count(counter::flows_opened);
     return result;
 }
 
-auto pool_chooser::answer(const flow_id& id, std::uint8_t from, std::string_view profile_name, time_ms at)
-    -> answer_action {
+auto pool_chooser::answer(const flow_id& id, std::uint8_t from, std::string_view profile_name, time_ms at,
+                          std::string_view service_name) -> answer_action {
     const auto lock = std::lock_guard(mutex_);
     auto& s = slots_[from];
+    if (s.failures > 0) {
+        note_verdict(s, "answers SYNs");
+    }
     s.failures = 0;
     s.passed_over_until = {};
     auto& flows = shard_of(id);
@@ -357,7 +379,7 @@
     }
     auto& e = found->second;
     if ((e.flags & is_closed) != 0) {
-        count(counter::drop_late_answer);
+        count_for(service_name, counter::drop_late_answer);
         return answer_action::reset_target;
     }
     e.touched = low_bits(at);
@@ -365,7 +387,7 @@
         if (e.target == from) {
             return answer_action::to_client;
         }
-        count(counter::drop_late_answer);
+        count_for(service_name, counter::drop_late_answer);
         return answer_action::reset_target;
     }
     const auto pending = half_open_.find(id);
@@ -374,13 +396,21 @@
                                std::find(pending->second.tried.begin(), pending->second.tried.end(), from) !=
                                    pending->second.tried.end();
         if (!was_tried) {
-            count(counter::drop_late_answer);
+            count_for(service_name, counter::drop_late_answer);
             return answer_action::reset_target;
         }
         remove(e.target, e.rules);
         add(from, e.rules);
         e.target = from;
     }
+    if (pending != half_open_.end()) {
+        const auto is_last_tried = pending->second.tried.back() == from;
+        // An earlier target was sent its SYN before the last one; only the first one's time is known.
+        if (is_last_tried || pending->second.tried.front() == from) {
+            observe(histogram_id::syn_ack_time_ms,
+                    at - (is_last_tried ? pending->second.sent : pending->second.started));
+        }
+    }
     e.flags = static_cast<std::uint8_t>(e.flags & ~is_half_open);
     if (pending != half_open_.end()) {
         half_open_.erase(pending);
@@ -393,23 +423,26 @@
     if (at < s.passed_over_until) {
         return;  // flows that fail together count as one failure
     }
+    if (s.failures == 0) {
+        note_verdict(s, "does not answer SYNs");
+    }
     s.passed_over_until = at + (pass_over_ms << std::min(s.failures, pass_over_doublings));
     ++s.failures;
 }
 
 auto pool_chooser::next_target(entry& e, half_open& pending, counter reason, time_ms at) -> std::uint8_t {
     if (pending.tried.size() >= tried_limit) {
-        count(counter::retry_limit_reached);
+        count_for(pending.service_name, counter::retry_limit_reached);
         return 0;
     }
     if (retry_tokens_ < 1) {
-        count(counter::retry_budget_exhausted);
+        count_for(pending.service_name, counter::retry_budget_exhausted);
         return 0;
     }
     auto unused = counter::refuse_no_target;
     const auto next = pick(e.rules, pending.tried, at, unused);
     if (next == 0) {
-        count(counter::retry_no_target);
+        count_for(pending.service_name, counter::retry_no_target);
         return 0;
     }
     retry_tokens_ -= 1;
@@ -419,11 +452,13 @@
     e.touched = low_bits(at);
     pending.tried.push_back(next);
     pending.deadline = at + rules_[e.rules].syn_timeout_ms;
-    count(reason);
+    pending.sent = at;
+    count_for(pending.service_name, reason);
     return next;
 }
 
-auto pool_chooser::refused(const flow_id& id, std::uint8_t from, time_ms at) -> refusal_result {
+auto pool_chooser::refused(const flow_id& id, std::uint8_t from, time_ms at, std::string_view service_name)
+    -> refusal_result {
     const auto lock = std::lock_guard(mutex_);
     auto& flows = shard_of(id);
     const auto found = flows.find(id);
@@ -432,7 +467,7 @@
     }
     auto& e = found->second;
     if (e.target != from || (e.flags & is_closed) != 0) {
-        count(counter::drop_late_answer);
+        count_for(service_name, counter::drop_late_answer);
         if ((e.flags & is_half_open) != 0) {
             mark_failure(from, at);
         }
@@ -654,6 +689,9 @@
         s.is_cold = true;  // it may have restarted with empty caches
         s.cold_since = at;
     }
+    if (s.is_unreachable == is_reachable) {
+        note_verdict(s, is_reachable ? "reachable" : "unreachable");
+    }
     s.is_unreachable = !is_reachable;
     s.reported_at = at;
     s.is_reported = is_reachable;
--- a/src/flow/chooser_base.h
+++ b/src/flow/chooser_base.h
@@ -115,16 +115,18 @@
     auto configure(const snapshot& config, std::uint32_t pool, time_ms at) -> void;
 
     // Places a SYN. A retransmission (same sequence number) goes to the entry's target. The SYN is kept for
-    // a retry until it is answered.
+    // a retry until it is answered. Retries are counted for the service.
     auto open(const flow_id& id, std::string_view profile_name, std::uint32_t sequence,
-              const std::uint8_t* packet, std::size_t size, time_ms at) -> open_result;
+              const std::uint8_t* packet, std::size_t size, time_ms at, std::string_view service_name = {})
+        -> open_result;
 
-    // Handles a SYN-ACK from a target.
-    auto answer(const flow_id& id, std::uint8_t from, std::string_view profile_name, time_ms at)
-        -> answer_action;
+    // Handles a SYN-ACK from a target. A late one is counted for the service.
+    auto answer(const flow_id& id, std::uint8_t from, std::string_view profile_name, time_ms at,
+                std::string_view service_name = {}) -> answer_action;
 
-    // Handles a reset from a target that refuses a SYN.
-    auto refused(const flow_id& id, std::uint8_t from, time_ms at) -> refusal_result;
+    // Handles a reset from a target that refuses a SYN. A late one is counted for the service.
+    auto refused(const flow_id& id, std::uint8_t from, time_ms at, std::string_view service_name = {})
+        -> refusal_result;
 
     // Notes a FIN or reset. `index` is the target carried by or sending the packet, 0 if unknown. With
     // `may_adopt`, the close of a flow without an entry counts against the inherited flows.
@@ -187,6 +189,8 @@
         std::vector<std::uint8_t> tried;
         time_ms started;
         time_ms deadline;
+        time_ms sent;  // to the last target tried
+        std::string service_name;
     };
     struct slot {
         target object;
@@ -231,6 +235,7 @@
     auto mark_failure(std::uint8_t index, time_ms at) -> void;
     auto next_target(entry& e, half_open& pending, counter reason, time_ms at) -> std::uint8_t;
     auto count_entry(entry& e) -> void;
+    auto note_verdict(const slot& s, std::string_view verdict) const -> void;
     auto sum_outside(time_ms at) -> void;
     static auto used_of(const slot& s, std::size_t kind) -> std::uint32_t;
     auto expire_half_open(time_ms at, std::vector<syn_retry>& retries) -> void;
--- a/src/host/config_feed.cpp
+++ b/src/host/config_feed.cpp
@@ -152,7 +152,8 @@
 auto config_feed::publish(const snapshot_ptr& next) -> void {
     host_.config.store(next);
     write_log(log_event::configuration_applied, {{"revision", std::to_string(next->revision)}});
-    record_history(history_kind::configuration, {{"revision", std::to_string(next->revision)}});
+    record_history(history_kind::configuration,
+                   {{"event", "applied"}, {"revision", std::to_string(next->revision)}});
     mesh_.announce();
 }
 
--- a/src/host/forward.cpp
+++ b/src/host/forward.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/counter_func.h"
+#include "core/history_func.h"
 #include "flow/hash_func.h"
 #include "net/byte_order_func.h"
 #include "net/checksum_func.h"
@@ -20,9 +21,20 @@
     packet_headers headers;
 };
 
-// A refused TCP packet is answered with a reset; resets are never answered.
-auto refuse(const packet_in& packet, counter reason, packet_sink& sink) -> void {
-    count(reason);
+// A refused TCP packet is answered with a reset; resets are never answered. The service is nullptr if none is
+// known.
+auto refuse(const snapshot_service* found, const packet_in& packet, counter reason, packet_sink& sink)
+    -> void {
+    if (found != nullptr) {
+        count(reason, found->object.name);
+    } else {
+        count(reason);
+    }
+    record_history(history_kind::refusal, [&] {
+        return history_fields{{"reason", std::string(counter_name(reason))},
+                              {"client", to_text(packet.headers.source)},
+                              {"service", to_text(packet.headers.destination)}};
+    });
     if (packet.headers.protocol == ip_protocol::tcp) {
         if (!packet.headers.has_flags(tcp_flag::rst)) {
             const auto reset = build_reset_reply(packet.headers);
@@ -127,7 +139,7 @@
     const auto chooser = context.flows->choosers.find(pool.name);
     if (headers.is_syn_ack()) {
         if (chooser != nullptr && chooser->target_of(id) != 0) {
-            chooser->answer(id, index, found.rules.name, context.at);
+            chooser->answer(id, index, found.rules.name, context.at, found.object.name);
         }
         return;
     }
@@ -183,10 +195,10 @@
     const auto chooser = chooser_of(*context.flows, *context.config, found.pool, context.at);
     const auto opened =
         chooser->open(forward_id(found, packet.headers), found.rules.name, packet.headers.tcp_sequence,
-                      packet.data, packet.headers.size, context.at);
+                      packet.data, packet.headers.size, context.at, found.object.name);
     const auto* chosen = context.config->pools[found.pool].target_of_index(opened.target);
     if (chosen == nullptr) {
-        refuse(packet, opened.reason, sink);
+        refuse(&found, packet, opened.reason, sink);
         return;
     }
     send_to_target(context, found, *chosen, packet, sink);
@@ -201,9 +213,9 @@
     const auto id = reverse_id(found, packet.headers);
     auto outcome = refusal_result{};
     if (packet.headers.is_syn_ack()) {
-        outcome.action = chooser->answer(id, sender.index, found.rules.name, context.at);
+        outcome.action = chooser->answer(id, sender.index, found.rules.name, context.at, found.object.name);
     } else {
-        outcome = chooser->refused(id, sender.index, context.at);
+        outcome = chooser->refused(id, sender.index, context.at, found.object.name);
     }
     switch (outcome.action) {
         case answer_action::to_client:
@@ -260,7 +272,7 @@
     const auto* chosen =
         known != 0 ? pool.target_of_index(known) : context.placement->pick(pool, context.zone, id);
     if (chosen == nullptr) {
-        refuse(packet, known != 0 ? counter::refuse_unknown_flow : counter::refuse_no_target, sink);
+        refuse(&found, packet, known != 0 ? counter::refuse_unknown_flow : counter::refuse_no_target, sink);
         return;
     }
     send_to_target(context, found, *chosen, packet, sink);
@@ -281,7 +293,7 @@
     const auto* chosen = pool.target_of_index(known);
     if (known != 0 && chosen == nullptr) {
         owned.erase(id);
-        refuse(packet, counter::refuse_unknown_flow, sink);
+        refuse(&found, packet, counter::refuse_unknown_flow, sink);
         return;
     }
     if (known == 0) {
@@ -296,7 +308,7 @@
         }
         chosen = context.placement->pick(pool, context.zone, id);
         if (chosen == nullptr) {
-            refuse(packet, counter::refuse_no_target, sink);
+            refuse(&found, packet, counter::refuse_no_target, sink);
             return;
         }
         count(counter::flow_pure_pick);
@@ -324,7 +336,7 @@
     owned.forget_closed(id);
     const auto known = owned.find(id, pool.name, found.rules, packet.headers.protocol, context.at);
     if (known != 0 && known != sender.index) {
-        count(counter::drop_late_answer);
+        count(counter::drop_late_answer, found.object.name);
         const auto reset = build_reset_reply(packet.headers);
         sink.copy_to_fabric(reset.data(), reset.size());
         return;
@@ -348,7 +360,7 @@
         if (is_reset(packet.headers)) {
             send_close_notice(context, found, flow_end::client, 0, packet, sink);
         }
-        refuse(packet, counter::refuse_unknown_index, sink);
+        refuse(&found, packet, counter::refuse_unknown_index, sink);
         return;
     }
     if (is_close(packet.headers)) {
@@ -366,7 +378,7 @@
         const auto& pool = context.config->pools[found.pool];
         const auto* chosen = context.placement->pick(pool, context.zone, forward_id(found, headers));
         if (chosen == nullptr) {
-            refuse(packet, counter::refuse_no_target, sink);
+            refuse(&found, packet, counter::refuse_no_target, sink);
             return;
         }
         send_to_target(context, found, *chosen, packet, sink);
@@ -489,7 +501,7 @@
         return;
     }
     if (owner == nullptr && chooser == nullptr) {
-        count(counter::drop_icmp_unmatched);
+        count(counter::drop_icmp_unmatched, found.object.name);
         return;
     }
     if (owner != nullptr) {
@@ -548,7 +560,7 @@
         chosen = icmp_target_here(context, *found, id, role);
     }
     if (chosen == nullptr) {
-        count(counter::drop_icmp_unmatched);
+        count(counter::drop_icmp_unmatched, found->object.name);
         return;
     }
     send_icmp_to_target(*found, *chosen, packet, *quoted, sink);
@@ -600,7 +612,8 @@
     } else if (reason == relay_reason::previous_owner && found != nullptr) {
         previous_owner_here(context, *found, packet, sink);
     } else {
-        count(counter::drop_relay_not_forwardable);
+        const auto& service = found != nullptr ? *found : config.services[reverse->second.service];
+        count(counter::drop_relay_not_forwardable, service.object.name);
     }
 }
 
@@ -621,7 +634,7 @@
         return;
     }
     if (config.revision == 0) {
-        refuse(packet, counter::refuse_not_ready, sink);
+        refuse(nullptr, packet, counter::refuse_not_ready, sink);
         return;
     }
     count(counter::drop_unknown_service);
--- a/src/host/forward_messages.cpp
+++ b/src/host/forward_messages.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "core/counter_func.h"
+#include "core/history_func.h"
 #include "core/log_func.h"
 #include "flow/hash_func.h"
 #include "host/forward_func.h"
@@ -339,11 +340,17 @@
         }
         if (state.has_role.insert(pool).second) {
             write_log(log_event::chooser_started, {{"pool", pool}});
+            record_history(history_kind::host, {{"event", "chooser started"}, {"pool", pool}});
         }
         chooser_of(host.flows, *context.config, static_cast<std::uint32_t>(i), context.at);
     }
 }
 
+auto note_handed_over(const std::string& pool, const std::string& to) -> void {
+    write_log(log_event::chooser_handed_over, {{"pool", pool}, {"to", to}});
+    record_history(history_kind::host, {{"event", "chooser handed over"}, {"pool", pool}, {"to", to}});
+}
+
 // Takes up and gives up the role of chooser as the view says. The pools are gone through only after a change;
 // a chooser without the role exists only if a host with an older view relayed to this one.
 auto update_roles(host_state& host, const peer_channel& channel, const forward_context& context,
@@ -367,7 +374,7 @@
         const auto [lost, is_new] = state.lost_roles.emplace(pool, context.at);
         if (is_new && state.has_role.erase(pool) != 0) {
             send_counts(*first, pool, chooser->counts(), counts_use::replace, channel);
-            write_log(log_event::chooser_handed_over, {{"pool", pool}, {"to", first->name}});
+            note_handed_over(pool, first->name);
             host.flows.choosers.remove(pool);
             state.lost_roles.erase(lost);
         } else if (context.at - lost->second >= lost_role_grace_ms) {
@@ -646,7 +653,7 @@
     for (const auto& [pool, chooser] : host.flows.choosers.all()) {
         if (const auto* next = next_chooser(*view, pool)) {
             send_counts(*next, pool, chooser->counts(), counts_use::replace, channel);
-            write_log(log_event::chooser_handed_over, {{"pool", pool}, {"to", next->name}});
+            note_handed_over(pool, next->name);
         }
     }
     auto state = timer_state{};
--- a/src/host/worker.cpp
+++ b/src/host/worker.cpp
@@ -1,4 +1,5 @@
 #include "core/clock_type.h"
+#include "core/histogram_func.h"
 #include "host/forward_func.h"
 #include "host/worker_func.h"
 
@@ -21,10 +22,37 @@
     }
 }
 
+// One batch in 16 and one packet in 64 are observed; observing each one would cost the packet path more than
+// the histograms are worth.
+constexpr std::size_t batches_per_sample = 16;
+constexpr std::size_t packets_per_sample = 64;
+
+// What a worker has still to receive before its next samples.
+struct sample_state {
+    std::size_t batches_left = 0;
+    std::size_t packets_left = 0;
+};
+
+// Observes the sizes of some batches and packets.
+auto observe_sizes(const std::vector<received_packet>& received, sample_state& state) -> void {
+    if (state.batches_left == 0) {
+        state.batches_left = batches_per_sample;
+        observe(histogram_id::batch_size_packets, static_cast<std::int64_t>(received.size()));
+    }
+    --state.batches_left;
+    while (state.packets_left < received.size()) {
+        observe(histogram_id::packet_size_bytes,
+                static_cast<std::int64_t>(received[state.packets_left].size));
+        state.packets_left += packets_per_sample;
+    }
+    state.packets_left -= received.size();
+}
+
 // Receives batches and forwards them until the host is done.
 auto run_worker(host_state& host, link_port& port) -> void {
     auto received = std::vector<received_packet>{};
     auto sink = packet_sink{};
+    auto samples = sample_state{};
     while (!host.is_done) {
         received.clear();
         sink.clear();
@@ -33,6 +61,7 @@
         if (!received.empty()) {
             const auto at = now();
             host.last_packet_ms = at.value;
+            observe_sizes(received, samples);
             const auto config = host.config.load();
             const auto view = host.view.load();
             const auto context =
--- a/tests/flow_chooser_test.cpp
+++ b/tests/flow_chooser_test.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(random_history_agrees_with_a_naive_chooser);
     CPPUNIT_TEST(unanswered_syn_goes_to_another_target_within_the_budget);
     CPPUNIT_TEST(refused_syn_goes_to_another_target);
+    CPPUNIT_TEST(changed_verdict_is_recorded);
     CPPUNIT_TEST(only_the_first_answering_target_is_connected);
     CPPUNIT_TEST(bad_marks_are_ignored_when_most_targets_look_bad);
     CPPUNIT_TEST(reserve_is_closed_to_lower_priorities);
@@ -195,6 +196,19 @@
         CPPUNIT_ASSERT_EQUAL(int{first}, int{open(chooser, 9, start_ + 1100)});
     }
 
+    auto changed_verdict_is_recorded() -> void {
+        CPPUNIT_ASSERT(is_recorded(history_kind::health, "p-verdict", [&] {
+            auto chooser = pool_chooser("p-verdict", "z", 7);
+            chooser.configure(*test_pool(3).build(), 0, start_);
+            chooser.apply_report(1, 0, 0, true, start_);
+            chooser.apply_report(1, 0, 0, false, start_);
+        }));
+        for (const auto& entry : recent_history(history_kind::health)) {
+            const auto is_own = entry.fields.at(0).second == "p-verdict";
+            CPPUNIT_ASSERT(!is_own || entry.fields.at(2).second == "unreachable");
+        }
+    }
+
     auto only_the_first_answering_target_is_connected() -> void {
         auto chooser = pool_chooser("p", "z", 7);
         chooser.configure(*test_pool(3).build(), 0, start_);
--- a/tests/flow_forward_test.cpp
+++ b/tests/flow_forward_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 
+#include "core/histogram_func.h"
 #include "flow_test_func.h"
 #include "net/byte_order_func.h"
 
@@ -64,6 +65,7 @@
     CPPUNIT_TEST(close_is_counted_once_whatever_hosts_see_it);
     CPPUNIT_TEST(relayed_packets_of_strangers_are_dropped);
     CPPUNIT_TEST(unknown_index_is_refused_and_never_placed);
+    CPPUNIT_TEST(refusal_is_counted_for_its_service_and_recorded);
     CPPUNIT_TEST(full_pool_refuses_before_payload);
     CPPUNIT_TEST(late_syn_ack_is_answered_with_a_reset_to_its_target);
     CPPUNIT_TEST(owner_flow_keeps_its_target_when_targets_and_hosts_change);
@@ -143,6 +145,20 @@
         }
     }
 
+    auto refusal_is_counted_for_its_service_and_recorded() -> void {
+        auto zone = test_zone(2, test_pool(3).build());
+        const auto from = at("10.77.0.1:77");
+        const auto before = counter_value(counter::refuse_unknown_index, "r");
+        const auto other = counter_value(counter::refuse_unknown_index, "f");
+        auto sent = std::uint64_t{0};
+        CPPUNIT_ASSERT(is_recorded(history_kind::refusal, to_text(from), [&] {
+            zone.deliver(0, make_tcp(from, web, with_flags(tcp_flag::ack, 255U)));
+            ++sent;
+        }));
+        CPPUNIT_ASSERT_EQUAL(before + sent, counter_value(counter::refuse_unknown_index, "r"));
+        CPPUNIT_ASSERT_EQUAL(other, counter_value(counter::refuse_unknown_index, "f"));
+    }
+
     auto full_pool_refuses_before_payload() -> void {
         auto zone = test_zone(3, test_pool(2, 1).build());
         open_flow(zone, at("10.0.0.7:1"), 0);
@@ -158,11 +174,16 @@
         auto zone = test_zone(3, test_pool(2).build());
         const auto sent = zone.deliver(0, make_tcp(client, web, with_flags(tcp_flag::syn)));
         const auto first = index_of(headers_of(sent.at(0)));
+        const auto retries = counter_value(counter::retry_syn_timeout, "r");
+        const auto late_answers = counter_value(counter::drop_late_answer, "r");
+        const auto observed = histogram_content(histogram_id::syn_ack_time_ms);
         zone.now = zone.now + 800;
         const auto retried = zone.expire();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, retried.size());
         const auto second = index_of(headers_of(retried[0]));
         CPPUNIT_ASSERT(first != second);
+        CPPUNIT_ASSERT_EQUAL(retries + 1, counter_value(counter::retry_syn_timeout, "r"));
+        zone.now = zone.now + 7;
         const auto answer = with_flags(tcp_flag::syn | tcp_flag::ack);
         const auto connected = zone.deliver(1, make_tcp(target_address(second), client, answer));
         CPPUNIT_ASSERT(headers_of(connected.at(0)).destination == client);
@@ -170,6 +191,11 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.size());
         CPPUNIT_ASSERT(headers_of(late[0]).has_flags(tcp_flag::rst));
         CPPUNIT_ASSERT(headers_of(late[0]).destination == target_address(first));
+        CPPUNIT_ASSERT_EQUAL(late_answers + 1, counter_value(counter::drop_late_answer, "r"));
+        // The time counts from the SYN to the answering target, not from the first SYN.
+        const auto after = histogram_content(histogram_id::syn_ack_time_ms);
+        CPPUNIT_ASSERT_EQUAL(observed.total + 1, after.total);
+        CPPUNIT_ASSERT_EQUAL(observed.sum + 7, after.sum);
     }
 
     auto owner_flow_keeps_its_target_when_targets_and_hosts_change() -> void {
--- a/tests/flow_test_func.h
+++ b/tests/flow_test_func.h
@@ -1,12 +1,16 @@
 // Shared parts of the flow tests: configurations, TCP packets and a zone of hosts in one process.
 #pragma once
 
+#include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "config/snapshot_func.h"
+#include "core/history_func.h"
 #include "flow/hash_func.h"
 #include "host/forward_func.h"
 #include "net/packet_func.h"
@@ -116,6 +120,25 @@
     std::uint64_t version_ = 0;
 };
 
+// Repeats an action until the history of a kind has an entry with this value, because the history's rate
+// limit may leave out entries just after a test that makes many. False after 5 s.
+inline auto is_recorded(history_kind kind, const std::string& value, const std::function<void()>& act)
+    -> bool {
+    const auto limit = agatepost::now() + 5000;
+    while (agatepost::now() < limit) {
+        act();
+        for (const auto& entry : recent_history(kind)) {
+            for (const auto& field : entry.fields) {
+                if (field.second == value) {
+                    return true;
+                }
+            }
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+}
+
 inline auto headers_of(const std::vector<std::uint8_t>& packet) -> packet_headers {
     return *parse_packet(packet.data(), packet.size());
 }
