--- a/src/cmd/serve_cmd.cpp
+++ b/src/cmd/serve_cmd.cpp
@@ -88,6 +88,9 @@
     };
     host.hand_over = [&host, channel = host.channel] { hand_over_flows(host, *channel); };
     add_flow_pages(*parts.admin, host);
+    parts.admin->add_section("/status", "hosts", [&node = *parts.node](const admin_query&) {
+        return hosts_section(node.members().records());
+    });
 }
 
 // Opens the store, the admin port and the peer address, and registers what modules do for each other.
@@ -156,13 +159,14 @@
     host.is_done = true;
     parts.health->stop();
     parts.feed->stop();
+    // The timers send through the node, so they end before it does.
+    if (parts.flow_timers.joinable()) {
+        parts.flow_timers.join();
+    }
     parts.node->stop();
     for (auto& worker : parts.workers) {
         worker.join();
     }
-    if (parts.flow_timers.joinable()) {
-        parts.flow_timers.join();
-    }
     parts.admin->stop();
 }
 
--- a/src/cmd/status_cmd.cpp
+++ b/src/cmd/status_cmd.cpp
@@ -59,13 +59,21 @@
     }
 }
 
+// Returns whether a host in the list of another is expected to answer. Hosts that do not tell a state are
+// older.
+auto is_live(const json& host) -> bool {
+    const auto state = host.value("state", "live");
+    return state == "live" || state == "suspect";
+}
+
 auto print_fleet_line(const fleet_entry& entry, const json& status) -> void {
     const auto host = status.value("host", json::object());
     const auto config = status.value("configuration", json::object());
+    const auto hosts = status.value("hosts", json::array());
     std::cout << entry.name << "  " << entry.address << "  zone=" << host.value("zone", "?")
               << " state=" << host.value("state", "?") << " version=" << host.value("version", "?")
               << " revision=" << config.value("revision", std::uint64_t{0})
-              << " hosts=" << status.value("hosts", json::array()).size() << "\n";
+              << " hosts=" << std::count_if(hosts.begin(), hosts.end(), is_live) << "\n";
 }
 
 auto print_fleet(const std::vector<fleet_entry>& entries, bool as_json) -> int {
@@ -110,7 +118,7 @@
     auto entries = std::vector<fleet_entry>{{own_name, to_text(asked), first.dump()}};
     auto others = std::vector<fleet_entry>{};
     for (const auto& host : first.value("hosts", json::array())) {
-        if (host.value("name", "") != own_name) {
+        if (host.value("name", "") != own_name && is_live(host)) {
             others.push_back({host.value("name", "?"), admin_address_of(host, asked.port), std::string()});
         }
     }
--- a/src/host/admin_pages.cpp
+++ b/src/host/admin_pages.cpp
@@ -46,17 +46,6 @@
             {"targets_draining", draining}};
 }
 
-auto hosts_section(const host_state& host) -> json {
-    auto list = json::array();
-    for (const auto& record : host.view.load()->hosts) {
-        list.push_back({{"name", record.name},
-                        {"zone", record.zone},
-                        {"data", to_text(record.data)},
-                        {"peer", to_text(record.peer)}});
-    }
-    return list;
-}
-
 // What the configuration alone says about a flow; the flow module adds what it decided.
 auto explain_section(const host_state& host, const admin_query& query) -> json {
     const auto flow = flow_of_query(query);
@@ -128,6 +117,22 @@
 
 }  // namespace
 
+auto hosts_section(const std::vector<member_update>& records) -> json {
+    auto list = json::array();
+    for (const auto& [record, state] : records) {
+        auto entry = json{{"name", record.name},
+                          {"zone", record.zone},
+                          {"state", std::string(to_text(state))},
+                          {"data", to_text(record.data)},
+                          {"peer", to_text(record.peer)}};
+        if (record.admin) {
+            entry["admin"] = to_text(*record.admin);
+        }
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
 auto make_admin_server(const host_state& host) -> result<std::unique_ptr<admin_server>> {
     auto keys = auth_keys_of(host.options);
     if (!keys) {
@@ -142,7 +147,6 @@
     server->add_section("/status", "host", [&host](const admin_query&) { return host_section(host); });
     server->add_section("/status", "configuration",
                         [&host](const admin_query&) { return configuration_section(host); });
-    server->add_section("/status", "hosts", [&host](const admin_query&) { return hosts_section(host); });
     server->add_section("/explain", "configuration",
                         [&host](const admin_query& query) { return explain_section(host, query); });
     return server;
--- a/src/host/admin_pages_func.h
+++ b/src/host/admin_pages_func.h
@@ -2,20 +2,27 @@
 #pragma once
 
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <vector>
 
 #include "flow/flow_type.h"
 #include "host/admin_base.h"
 #include "host/host_base.h"
+#include "peer/membership_base.h"
 
 namespace agatepost {
 
 // Makes the admin server of a host with /metrics, /status, /explain and /history. Not started yet, so that
 // modules can add their sections first:
-// - /status: "host", "configuration" and "hosts"; a host in "hosts" may have "admin", its admin address.
+// - /status: "host" and "configuration".
 // - /explain: "configuration", what the configuration alone says about a flow.
 // The host state must outlive the server.
 auto make_admin_server(const host_state& host) -> result<std::unique_ptr<admin_server>>;
 
+// Returns the section "hosts" of /status: each known host of the zone with its state and addresses. "admin"
+// is missing for a host that does not tell its admin address.
+auto hosts_section(const std::vector<member_update>& records) -> nlohmann::json;
+
 // Returns the flow that /explain was asked about: parameters `flow` (CLIENT:PORT-SERVICE:PORT) and `protocol`
 // (tcp or udp, tcp if missing).
 auto flow_of_query(const admin_query& query) -> result<flow_key>;
--- a/src/peer/host_view_type.h
+++ b/src/peer/host_view_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -16,10 +17,11 @@
     std::string zone;
     endpoint data;                  // UDP, relayed packets
     endpoint peer;                  // UDP heartbeats and websocket links
+    std::optional<endpoint> admin;  // not told by older versions
     std::uint64_t incarnation = 0;  // rises when the host restarts or refutes a suspicion
     std::uint64_t name_hash = 0;    // stable_hash(name), for rendezvous
 
-    auto tie() const { return std::tie(name, zone, data, peer, incarnation); }
+    auto tie() const { return std::tie(name, zone, data, peer, admin, incarnation); }
     friend auto operator==(const host_record& a, const host_record& b) -> bool { return a.tie() == b.tie(); }
     friend auto operator!=(const host_record& a, const host_record& b) -> bool { return !(a == b); }
 };
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -35,10 +35,28 @@
 
 }  // namespace
 
+auto to_text(member_state state) -> std::string_view {
+    switch (state) {
+        case member_state::live:
+            return "live";
+        case member_state::suspect:
+            return "suspect";
+        case member_state::leaving:
+            return "leaving";
+        case member_state::dead:
+            return "dead";
+    }
+    return "unknown";
+}
+
 auto to_json(const member_update& update) -> nlohmann::json {
-    return nlohmann::json::array({update.host.name, update.host.zone, to_text(update.host.data),
-                                  to_text(update.host.peer), update.host.incarnation,
-                                  static_cast<int>(update.state)});
+    auto document = nlohmann::json::array({update.host.name, update.host.zone, to_text(update.host.data),
+                                           to_text(update.host.peer), update.host.incarnation,
+                                           static_cast<int>(update.state)});
+    if (update.host.admin) {
+        document.push_back(to_text(*update.host.admin));
+    }
+    return document;
 }
 
 auto parse_member_update(const nlohmann::json& document) -> member_update {
@@ -55,6 +73,12 @@
     update.host.peer = *peer;
     update.host.incarnation = document.at(4).get<std::uint64_t>();
     update.host.name_hash = stable_hash(update.host.name);
+    if (document.size() > 6 && document.at(6).is_string()) {
+        const auto admin = parse_endpoint(document.at(6).get<std::string>());
+        if (admin) {
+            update.host.admin = *admin;
+        }
+    }
     update.state = static_cast<member_state>(state);
     return update;
 }
@@ -377,6 +401,17 @@
     return known;
 }
 
+auto membership::records() const -> std::vector<member_update> {
+    const auto lock = std::lock_guard(mutex_);
+    auto all = std::vector<member_update>{self_update()};
+    for (const auto& [name, who] : members_) {
+        all.push_back(member_update{who.host, who.state});
+    }
+    std::sort(all.begin(), all.end(),
+              [](const member_update& a, const member_update& b) { return a.host.name < b.host.name; });
+    return all;
+}
+
 auto membership::find(const std::string& name) const -> std::optional<host_record> {
     const auto lock = std::lock_guard(mutex_);
     const auto found = members_.find(name);
@@ -412,6 +447,8 @@
             return false;
         }
         members_[update.host.name] = member{update.host, update.state, at, {}};
+        const auto* event = contains_live(update.state) ? "joined" : "leaving";
+        record_history(history_kind::membership, {{"event", event}, {"name", update.host.name}});
         order_.insert(order_.begin() + static_cast<std::ptrdiff_t>(random_() % (order_.size() + 1)),
                       update.host.name);
         enqueue(update);
@@ -468,7 +505,11 @@
     if (state == member_state::dead && who.state != member_state::dead) {
         count(counter::hosts_died);
         write_log(log_event::host_died, {{"dead", who.host.name}});
-        record_history(history_kind::membership, {{"event", "died"}, {"dead", who.host.name}});
+        record_history(history_kind::membership, {{"event", "died"}, {"name", who.host.name}});
+    } else if (state == member_state::leaving && who.state != member_state::leaving) {
+        record_history(history_kind::membership, {{"event", "leaving"}, {"name", who.host.name}});
+    } else if (contains_live(state) && !contains_live(who.state)) {
+        record_history(history_kind::membership, {{"event", "joined"}, {"name", who.host.name}});
     }
     who.state = state;
     who.since = at;
--- a/src/peer/membership_base.h
+++ b/src/peer/membership_base.h
@@ -77,6 +77,9 @@
     // Known hosts of other zones, a few of each.
     auto contacts() const -> std::vector<host_record>;
 
+    // Returns what is known of each host of the own zone, this host included, sorted by name.
+    auto records() const -> std::vector<member_update>;
+
     // Finds a live host of the own zone or a contact by name.
     auto find(const std::string& name) const -> std::optional<host_record>;
 
@@ -164,7 +167,11 @@
     time_ms last_sync_;
 };
 
-// Encodes a statement for a message.
+// Returns the state's name for operators.
+auto to_text(member_state state) -> std::string_view;
+
+// Encodes a statement for a message. The admin address is a field behind the others, which older versions do
+// not read and need not send.
 auto to_json(const member_update& update) -> nlohmann::json;
 
 // Decodes a statement. Throws nlohmann::json::exception if it is malformed.
--- a/src/peer/peer_node.cpp
+++ b/src/peer/peer_node.cpp
@@ -24,6 +24,14 @@
     return names;
 }
 
+// The admin address as others can use it: nothing if the system assigns the port or the address is a
+// wildcard.
+auto told_admin_address(const endpoint& admin) -> std::optional<endpoint> {
+    const auto& bytes = admin.address.bytes;
+    const auto is_wildcard = std::all_of(bytes.begin(), bytes.end(), [](auto byte) { return byte == 0; });
+    return admin.port == 0 || is_wildcard ? std::nullopt : std::optional<endpoint>(admin);
+}
+
 }  // namespace
 
 auto read_peer_node_options(const settings& options) -> result<peer_node_options> {
@@ -38,6 +46,7 @@
     self.zone = options.text("zone");
     self.data = options.address("data-address");
     self.peer = options.address("peer-address");
+    self.admin = told_admin_address(options.address("admin-address"));
     self.name_hash = stable_hash(self.name);
     self.incarnation = static_cast<std::uint64_t>(wall_clock_ms());
     for (const auto& text : options.list("peers")) {
--- a/tests/flow_messages_test.cpp
+++ b/tests/flow_messages_test.cpp
@@ -66,7 +66,7 @@
                 if (alive[j]) {
                     const auto name = "h" + std::to_string(j);
                     const auto data = at("127.0.0." + std::to_string(j + 1) + ":6081");
-                    view->hosts.push_back({name, "z", data, data, 1, stable_hash(name)});
+                    view->hosts.push_back({name, "z", data, data, {}, 1, stable_hash(name)});
                 }
             }
             hosts[i]->view.store(view);
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -64,7 +64,7 @@
         for (auto j = std::size_t{0}; j < alive_.size(); ++j) {
             if (alive_[j]) {
                 const auto name = "h" + std::to_string(j);
-                views[i].hosts.push_back({name, "z", address(j), address(j), 1, stable_hash(name)});
+                views[i].hosts.push_back({name, "z", address(j), address(j), {}, 1, stable_hash(name)});
             }
         }
     }
--- a/tests/peer_fleet.h
+++ b/tests/peer_fleet.h
@@ -85,6 +85,7 @@
         self.zone = zone;
         self.peer = hosts[i]->peer;
         self.data = hosts[i]->peer;
+        self.admin = hosts[i]->peer;
         options.member.seeds = {hosts[0]->peer};
         options.member.random_seed = static_cast<std::uint32_t>(i + 1);
         options.keys = keys;
--- a/tests/peer_membership_test.cpp
+++ b/tests/peer_membership_test.cpp
@@ -4,7 +4,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
+#include <set>
 
+#include "core/history_func.h"
 #include "peer_fleet.h"
 
 namespace agatepost {
@@ -35,6 +38,8 @@
     CPPUNIT_TEST(other_zone_is_contact_only);
     CPPUNIT_TEST(keys_in_rotation_meet_and_others_stay_out);
     CPPUNIT_TEST(hosts_without_keys_meet);
+    CPPUNIT_TEST(record_of_an_older_version_decodes);
+    CPPUNIT_TEST(members_tell_their_admin_addresses_and_states);
     CPPUNIT_TEST(datagram_is_accepted_once_in_time_by_its_receiver);
     CPPUNIT_TEST_SUITE_END();
 
@@ -168,6 +173,38 @@
         CPPUNIT_ASSERT(await([&] { return fleet.agree({0, 1, 2}); }));
     }
 
+    auto record_of_an_older_version_decodes() -> void {
+        auto update = member_update{};
+        update.host.name = "h";
+        update.host.zone = "z";
+        update.host.data = update.host.peer = *parse_endpoint("127.0.0.1:1");
+        update.host.admin = parse_endpoint("127.0.0.1:2").value();
+        auto document = to_json(update);
+        CPPUNIT_ASSERT(parse_member_update(document) == update);
+        document.erase(6);
+        CPPUNIT_ASSERT(!parse_member_update(document).host.admin);
+    }
+
+    auto members_tell_their_admin_addresses_and_states() -> void {
+        auto fleet = peer_fleet(3);
+        CPPUNIT_ASSERT(fleet.start());
+        CPPUNIT_ASSERT(await([&] { return fleet.agree({0, 1, 2}); }));
+        fleet.hosts[2]->node->members().announce_leaving();
+        CPPUNIT_ASSERT(await([&] { return fleet.agree({0, 1}); }));
+        auto states = std::map<std::string, member_state>{};
+        for (const auto& record : fleet.hosts[0]->node->members().records()) {
+            states[record.host.name] = record.state;
+            CPPUNIT_ASSERT(record.host.admin == record.host.peer);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, states.size());
+        CPPUNIT_ASSERT(states["h0"] == member_state::live && states["h2"] != member_state::live);
+        auto events = std::set<std::string>{};
+        for (const auto& entry : recent_history(history_kind::membership)) {
+            events.insert(entry.fields.at(0).second);
+        }
+        CPPUNIT_ASSERT(events.count("joined") == 1 && events.count("leaving") == 1);
+    }
+
     auto datagram_is_accepted_once_in_time_by_its_receiver() -> void {
         const auto keys = auth_keys{key_of(1), key_of(2)};
         const auto at = std::int64_t{1700000000000};
--- a/tests/peer_process_test.cpp
+++ b/tests/peer_process_test.cpp
@@ -146,6 +146,11 @@
 
         // A host that starts while the store is down takes the configuration of its peers.
         store_.standin.stop();
+        CPPUNIT_ASSERT(await([&] {
+            return std::any_of(rest.begin(), rest.end(), [&](std::size_t i) {
+                return !processes_[i]->fields("watch_failed", "error").empty();
+            });
+        }));
         start(5);
         rest.push_back(5);
         CPPUNIT_ASSERT(await([&] { return all_applied(rest); }));
