--- a/src/host/forward_messages.cpp
+++ b/src/host/forward_messages.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "core/counter_func.h"
+#include "core/history_func.h"
 #include "core/log_func.h"
 #include "flow/hash_func.h"
 #include "host/forward_func.h"
@@ -60,10 +61,6 @@
     store_u32(&out[at + 12], static_cast<std::uint32_t>(id.low));
 }
 
-auto load_u64(const std::uint8_t* p) -> std::uint64_t {
-    return (static_cast<std::uint64_t>(load_u32(p)) << 32U) | load_u32(p + 4);
-}
-
 auto load_id(const std::uint8_t* p) -> flow_id {
     return {load_u64(p), load_u64(p + 8)};
 }
@@ -343,11 +340,17 @@
         }
         if (state.has_role.insert(pool).second) {
             write_log(log_event::chooser_started, {{"pool", pool}});
+            record_history(history_kind::host, {{"event", "chooser started"}, {"pool", pool}});
         }
         chooser_of(host.flows, *context.config, static_cast<std::uint32_t>(i), context.at);
     }
 }
 
+auto note_handed_over(const std::string& pool, const std::string& to) -> void {
+    write_log(log_event::chooser_handed_over, {{"pool", pool}, {"to", to}});
+    record_history(history_kind::host, {{"event", "chooser handed over"}, {"pool", pool}, {"to", to}});
+}
+
 // Takes up and gives up the role of chooser as the view says. The pools are gone through only after a change;
 // a chooser without the role exists only if a host with an older view relayed to this one.
 auto update_roles(host_state& host, const peer_channel& channel, const forward_context& context,
@@ -371,7 +374,7 @@
         const auto [lost, is_new] = state.lost_roles.emplace(pool, context.at);
         if (is_new && state.has_role.erase(pool) != 0) {
             send_counts(*first, pool, chooser->counts(), counts_use::replace, channel);
-            write_log(log_event::chooser_handed_over, {{"pool", pool}, {"to", first->name}});
+            note_handed_over(pool, first->name);
             host.flows.choosers.remove(pool);
             state.lost_roles.erase(lost);
         } else if (context.at - lost->second >= lost_role_grace_ms) {
@@ -500,8 +503,7 @@
         auto& items = by_host[name];
         const auto at = items.size();
         items.resize(at + 9);
-        store_u32(&items[at], static_cast<std::uint32_t>(one.id_high >> 32U));
-        store_u32(&items[at + 4], static_cast<std::uint32_t>(one.id_high));
+        store_u64(&items[at], one.id_high);
         items[at + 8] = one.target;
         if (items.size() >= exceptions_by_message * 9) {
             flush(name, items);
@@ -651,7 +653,7 @@
     for (const auto& [pool, chooser] : host.flows.choosers.all()) {
         if (const auto* next = next_chooser(*view, pool)) {
             send_counts(*next, pool, chooser->counts(), counts_use::replace, channel);
-            write_log(log_event::chooser_handed_over, {{"pool", pool}, {"to", next->name}});
+            note_handed_over(pool, next->name);
         }
     }
     auto state = timer_state{};
