Fix: [peer] Keep both links of two hosts that connect to each other at once

Cause: of two links opened at once by both sides one was closed. Frames that the peer had under way on it were dropped, because websocketpp takes no data frames once closing has begun. peer_links::send found a link under the lock and queued on it after the lock was released, so a message could stay in a closed link. Moving the closed link's queue to the other link also changed the order in some runs.

Change: links opened by different sides are both kept. Each host sends to a peer over one link and stays with it while it is usable, so order is kept within that link and nothing under way is cut off. Messages are queued under the lock. Of two links opened by the same side, which happens only after the older one failed at that side, the newer replaces the older. An incoming link takes messages only once its name is proven. Since a link may now carry messages in one direction only, each side sends an authenticated "alive" message after 2 s without a frame; otherwise the silence limit of 8 s would cut off such a link. Receiving counts as use, and the accepting side stops using an idle link 10 s before the opening side closes it. send_if_open queues on a connecting link when another link to the host is ready.

This was chosen over letting only the lower name open links: it needs no request datagram and no queue for each peer. The cost is two links between hosts that open them at the same moment.

Messages in a link that breaks are still lost.

--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <deque>
@@ -25,8 +26,12 @@
 constexpr std::size_t header_bytes = 58;  // IPv4, TCP with timestamps, websocket header
 constexpr std::size_t incoming_limit = 256;
 constexpr std::int64_t handshake_limit_ms = 2000;
-constexpr std::int64_t silence_limit_ms = 8000;  // four times the interval of revision messages
+constexpr std::int64_t alive_interval_ms = 2000;
+constexpr std::int64_t silence_limit_ms = 8000;  // four times alive_interval_ms
 constexpr std::int64_t idle_limit_ms = 30000;
+// The accepting side stops using an idle link this long before the opening side closes it, so that no frame
+// arrives after closing has begun. Longer than silence_limit_ms, after which a delayed link counts as broken.
+constexpr std::int64_t idle_margin_ms = 10000;
 constexpr std::int64_t retry_pause_ms = 500;
 constexpr long timer_ms = 500;
 constexpr auto keeper_step = std::chrono::milliseconds(50);
@@ -36,6 +41,9 @@
 using client_endpoint = websocketpp::client<websocketpp::config::asio_client>;
 using server_endpoint = websocketpp::server<websocketpp::config::asio>;
 
+// Sent over a link on which nothing else was sent for a while; not passed on to handlers.
+constexpr std::string_view alive_message = "alive";
+
 auto encode(const nlohmann::json& document) -> std::string {
     const auto bytes = nlohmann::json::to_cbor(document);
     return {bytes.begin(), bytes.end()};
@@ -105,6 +113,11 @@
     auto is_usable() const -> bool { return !is_closing_ && !is_ended_; }
     auto is_ended() const -> bool { return is_ended_; }
     auto is_outgoing() const -> bool { return is_outgoing_; }
+    // Returns whether new messages may be queued. The name of an incoming link is not proven before it is
+    // ready.
+    auto takes_messages() const -> bool {
+        return is_outgoing_ ? is_usable() : is_ready() && idle_ms() <= idle_limit_ms - idle_margin_ms;
+    }
     auto idle_ms() const -> std::int64_t { return now().value - last_use_ms_; }
 
 private:
@@ -271,13 +284,17 @@
             }
             is_proven_ = true;
             is_ready_ = true;
-            owner_.settle_duplicate(*this);
+            owner_.replace_older(*this);
             flush();
             if (owner_.options_.on_open && is_ready()) {
                 owner_.options_.on_open(name());
             }
             return;
         }
+        if (type == alive_message) {
+            return;
+        }
+        last_use_ms_ = now().value;
         owner_.options_.on_message(name(), type, message.at("b"));
     }
 
@@ -297,6 +314,7 @@
     }
 
     auto write(const std::string& frame) -> void {
+        last_write_ms_ = now().value;
         count(counter::control_bytes_sent, frame.size() + header_bytes);
         if (!write_(frame)) {
             close();
@@ -346,6 +364,13 @@
         loop_.stop();
     }
 
+    // Each side may send over a link of its own, so a link in use can be silent in one direction.
+    auto send_alive(std::int64_t at) -> void {
+        if (is_proven_ && at - last_write_ms_ >= alive_interval_ms && !is_blocked()) {
+            write_sealed(encode({{"y", std::string(alive_message)}, {"b", nullptr}}));
+        }
+    }
+
     auto start_timer() -> void {
         timer_ = std::make_unique<asio::steady_timer>(loop_, std::chrono::milliseconds(timer_ms));
         timer_->async_wait([this](const auto& failure) {
@@ -358,6 +383,7 @@
             } else if (at - last_receive_ms_ > silence_limit_ms) {
                 reject(counter::peer_link_silent);
             } else {
+                send_alive(at);
                 start_timer();
             }
         });
@@ -393,6 +419,7 @@
     bool is_proven_ = false;
     std::int64_t start_ms_ = now().value;
     std::int64_t last_receive_ms_ = now().value;
+    std::int64_t last_write_ms_ = now().value;
     std::atomic<std::int64_t> last_use_ms_{now().value};
     std::atomic<bool> is_ready_{false};
     std::atomic<bool> is_closing_{false};
@@ -443,6 +470,7 @@
     {
         const auto lock = std::lock_guard(mutex_);
         links.swap(links_);
+        used_.clear();
     }
     for (const auto& link : links) {
         link->close_soon();
@@ -487,6 +515,10 @@
         for (auto i = links_.begin(); i != links_.end();) {
             const auto& link = *i;
             if (link->is_ended()) {
+                const auto used = used_.find(link->name());
+                if (used != used_.end() && (used->second == nullptr || used->second == link)) {
+                    used_.erase(used);
+                }
                 ended.push_back(link);
                 i = links_.erase(i);
                 continue;
@@ -515,14 +547,18 @@
     }
 }
 
-auto peer_links::find_link(const std::string& name) const -> std::shared_ptr<peer_link> {
-    auto usable = std::shared_ptr<peer_link>();
+auto peer_links::find_link(const std::string& name) -> std::shared_ptr<peer_link> {
+    auto& used = used_[name];
+    if (used != nullptr && used->takes_messages()) {
+        return used;
+    }
+    used = nullptr;
     for (const auto& link : links_) {
-        if (link->is_usable() && link->name() == name && (usable == nullptr || link->is_ready())) {
-            usable = link;
+        if (link->takes_messages() && link->name() == name && (used == nullptr || link->is_ready())) {
+            used = link;
         }
     }
-    return usable;
+    return used;
 }
 
 auto peer_links::link_to(const host_record& host) -> std::shared_ptr<peer_link> {
@@ -530,28 +566,27 @@
     if (link == nullptr) {
         link = std::make_shared<peer_link>(*this, true);
         links_.push_back(link);
+        used_[host.name] = link;
         link->start_outgoing(host);
     }
     return link;
 }
 
-// Two hosts that connect to each other at once end up with two links. Both keep the one that the host with
-// the lower name opened; of two from the same side, the newer.
-auto peer_links::settle_duplicate(peer_link& ready) -> void {
+// A host opens a second link to the same peer only after its first one failed, which the peer may not have
+// noticed yet. Links opened by different sides are both kept: closing one would lose the frames that the peer
+// has under way on it.
+auto peer_links::replace_older(peer_link& ready) -> void {
     const auto lock = std::lock_guard(mutex_);
     const auto name = ready.name();
-    const auto keeps_outgoing = options_.self.name < name;
     for (const auto& link : links_) {
-        if (link.get() == &ready || !link->is_ready() || link->name() != name) {
+        const auto is_older = link.get() != &ready && link->is_ready() && link->name() == name &&
+                              link->is_outgoing() == ready.is_outgoing();
+        if (!is_older) {
             continue;
         }
-        const auto keeps_ready =
-            ready.is_outgoing() == link->is_outgoing() || ready.is_outgoing() == keeps_outgoing;
-        auto& closed = keeps_ready ? *link : ready;
-        auto& kept = keeps_ready ? ready : *link;
-        closed.close_soon();
-        for (auto& payload : closed.take_queue()) {
-            kept.send(std::move(payload));
+        link->close_soon();
+        for (auto& payload : link->take_queue()) {
+            ready.send(std::move(payload));
         }
     }
 }
@@ -570,29 +605,26 @@
         count(counter::drop_peer_message);
         return;
     }
-    auto link = std::shared_ptr<peer_link>();
-    {
-        const auto lock = std::lock_guard(mutex_);
-        link = link_to(to);
-    }
-    link->send(std::move(payload));
+    // Queued under the lock, so that replace_older does not take the link's queue in between.
+    const auto lock = std::lock_guard(mutex_);
+    link_to(to)->send(std::move(payload));
 }
 
 auto peer_links::send_if_open(const std::string& name, std::string_view type, const nlohmann::json& body)
     -> bool {
-    auto link = std::shared_ptr<peer_link>();
-    {
-        const auto lock = std::lock_guard(mutex_);
-        link = find_link(name);
-    }
-    if (link == nullptr || !link->is_ready()) {
-        return false;
-    }
     auto payload = encode({{"y", std::string(type)}, {"b", body}});
     if (payload.size() > frame_limit) {
         count(counter::drop_peer_message);
         return false;
     }
+    const auto lock = std::lock_guard(mutex_);
+    const auto is_open = std::any_of(links_.begin(), links_.end(), [&](const auto& link) {
+        return link->is_ready() && link->name() == name;
+    });
+    const auto link = is_open ? find_link(name) : nullptr;
+    if (link == nullptr) {
+        return false;
+    }
     link->send(std::move(payload));
     return true;
 }
@@ -605,6 +637,8 @@
             names.push_back(link->name());
         }
     }
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
     return names;
 }
 
--- a/src/peer/peer_link_base.h
+++ b/src/peer/peer_link_base.h
@@ -33,7 +33,8 @@
 
 class peer_link;
 
-// All links of one host. Thread-safe.
+// All links of one host. Two hosts that connect to each other at once keep both links; each sends over one of
+// them. Thread-safe.
 class peer_links {
 public:
     explicit peer_links(peer_link_options options);
@@ -57,7 +58,7 @@
     // Sends over an open link; returns whether there is one.
     auto send_if_open(const std::string& name, std::string_view type, const nlohmann::json& body) -> bool;
 
-    // Names of hosts with a link that is ready.
+    // Names of hosts with a link that is ready, each once.
     auto open_names() const -> std::vector<std::string>;
 
 private:
@@ -68,8 +69,8 @@
     auto reap() -> void;
     auto connect_wanted() -> void;
     auto link_to(const host_record& host) -> std::shared_ptr<peer_link>;
-    auto find_link(const std::string& name) const -> std::shared_ptr<peer_link>;
-    auto settle_duplicate(peer_link& ready) -> void;
+    auto find_link(const std::string& name) -> std::shared_ptr<peer_link>;
+    auto replace_older(peer_link& ready) -> void;
 
     peer_link_options options_;
     file_descriptor listener_;
@@ -78,6 +79,9 @@
     std::thread keeper_;
     mutable std::mutex mutex_;
     std::vector<std::shared_ptr<peer_link>> links_;
+    // The link over which messages to a host are sent. It stays the same while it is usable, because order is
+    // kept only within one link.
+    std::map<std::string, std::shared_ptr<peer_link>> used_;
     std::map<std::string, host_record> wanted_;
     std::map<std::string, std::int64_t> last_attempt_ms_;
 };
--- a/tests/peer_mesh_test.cpp
+++ b/tests/peer_mesh_test.cpp
@@ -120,6 +120,7 @@
 class peer_mesh_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(peer_mesh_test);
     CPPUNIT_TEST(messages_sent_both_ways_arrive_once_in_order);
+    CPPUNIT_TEST(link_used_in_one_direction_stays_open);
     CPPUNIT_TEST(stranger_and_garbage_are_cut_off);
     CPPUNIT_TEST(host_with_wrong_key_gets_no_link);
     CPPUNIT_TEST(peer_that_does_not_read_is_cut_off);
@@ -145,7 +146,7 @@
         CPPUNIT_ASSERT(fleet.start());
         CPPUNIT_ASSERT(await([&] { return fleet.agree({0, 1}); }));
         const auto hosts = fleet.hosts[0]->view.load()->hosts;
-        // Both open a link at the same moment, so that one of two has to be closed without loss.
+        // Both open a link at the same moment: messages are lost if either link is closed as a duplicate.
         auto senders = std::vector<std::thread>{};
         for (auto i = std::size_t{0}; i < 2; ++i) {
             senders.emplace_back([&, i] {
@@ -173,6 +174,36 @@
         CPPUNIT_ASSERT_MESSAGE("a message was lost", arrived);
     }
 
+    // Guards against a link that is cut off as silent although the peer only has nothing to say on it.
+    auto link_used_in_one_direction_stays_open() -> void {
+        constexpr std::int64_t duration_ms =
+            11000;  // longer than the 8 s after which a silent link is cut off
+        auto fleet = peer_fleet(2);
+        auto mutex = std::mutex{};
+        auto received = std::vector<int>{};
+        fleet.hosts[0]->node->channel().subscribe("number",
+                                                  [&](const std::string&, const nlohmann::json& body) {
+                                                      const auto lock = std::lock_guard(mutex);
+                                                      received.push_back(body.get<int>());
+                                                  });
+        CPPUNIT_ASSERT(fleet.start());
+        auto to = host_record{};
+        to.name = "h0";
+        to.peer = fleet.hosts[0]->peer;
+        const auto silent = counter_value(counter::peer_link_silent);
+        auto sent = std::vector<int>{};
+        const auto end = now() + duration_ms;
+        while (now() < end) {
+            sent.push_back(static_cast<int>(sent.size()));
+            fleet.hosts[1]->node->channel().send_reliable(to, "number", sent.back());
+            CPPUNIT_ASSERT_MESSAGE("a message was lost", await([&] {
+                                       const auto lock = std::lock_guard(mutex);
+                                       return received == sent;
+                                   }));
+        }
+        CPPUNIT_ASSERT_EQUAL(silent, counter_value(counter::peer_link_silent));
+    }
+
     auto stranger_and_garbage_are_cut_off() -> void {
         auto fleet = peer_fleet(1);
         CPPUNIT_ASSERT(fleet.start());
