--- a/src/peer/datagram_auth_base.h
+++ b/src/peer/datagram_auth_base.h
@@ -23,8 +23,8 @@
 // Checks received datagrams. For one thread.
 class datagram_checker {
 public:
-    datagram_checker(auth_keys keys, std::string receiver)
-        : keys_(std::move(keys)), receiver_(std::move(receiver)) {}
+    datagram_checker(const auth_keys& keys, std::string receiver)
+        : keys_(keys), receiver_(std::move(receiver)) {}
 
     // Returns the payload, a part of `datagram`, or the counter of the reason for dropping it.
     auto open(std::string_view datagram, std::int64_t wall_ms) -> tl::expected<std::string_view, counter>;
--- a/src/peer/peer_node.cpp
+++ b/src/peer/peer_node.cpp
@@ -36,11 +36,11 @@
 
 auto read_peer_node_options(const settings& options) -> result<peer_node_options> {
     auto node = peer_node_options{};
-    auto keys = auth_keys_of(options);
+    const auto keys = auth_keys_of(options);
     if (!keys) {
         return tl::unexpected<error>(keys.error());
     }
-    node.keys = std::move(*keys);
+    node.keys = *keys;
     auto& self = node.member.self;
     self.name = options.text("name");
     self.zone = options.text("zone");
