--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -49,9 +49,9 @@
     std::int64_t slow_start_ms = 10000;
 
     auto tie() const {
-        return std::tie(name, priority, kind, slot_limit_percent, connection_limit_percent, reserve_percent, queue_percent,
-                        idle_timeout_ms, silence_timeout_ms, drain_timeout_ms, retry_budget_percent,
-                        syn_timeout_ms, zones, slow_start_ms);
+        return std::tie(name, priority, kind, slot_limit_percent, connection_limit_percent, reserve_percent,
+                        queue_percent, idle_timeout_ms, silence_timeout_ms, drain_timeout_ms,
+                        retry_budget_percent, syn_timeout_ms, zones, slow_start_ms);
     }
     friend auto operator==(const profile& a, const profile& b) -> bool { return a.tie() == b.tie(); }
     friend auto operator!=(const profile& a, const profile& b) -> bool { return !(a == b); }
--- a/tests/peer_health_test.cpp
+++ b/tests/peer_health_test.cpp
@@ -1,6 +1,7 @@
 // Guards health reports: targets that nobody probes, verdicts that reach another host than the chooser, and
 // malformed or missing answers that count as load.
 
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <poll.h>
 
@@ -135,13 +136,14 @@
         auto probers = std::vector<std::unique_ptr<prober>>{};
         for (auto i = std::size_t{0}; i < 3; ++i) {
             auto& host = *fleet.hosts[i];
-            probers.push_back(std::make_unique<prober>(prober_options{
-                &published_config, &host.view, &host.node->channel(), "z",
-                [&, i](const std::string& name, const std::string& target, std::uint32_t busy,
-                       std::uint32_t connections, bool is_reachable) {
-                    const auto lock = std::lock_guard(mutex);
-                    received[i][name + "/" + target] = {busy, connections, is_reachable ? 1U : 0U};
-                }}));
+            probers.push_back(std::make_unique<prober>(
+                prober_options{&published_config, &host.view, &host.node->channel(), "z",
+                               [&, i](const std::string& name, const std::string& target, std::uint32_t busy,
+                                      std::uint32_t connections, bool is_reachable) {
+                                   const auto lock = std::lock_guard(mutex);
+                                   received[i][absl::StrCat(name, "/", target)] = {busy, connections,
+                                                                                   is_reachable ? 1U : 0U};
+                               }}));
         }
         CPPUNIT_ASSERT(fleet.start());
         CPPUNIT_ASSERT(await([&] { return fleet.agree({0, 1, 2}); }));
