Fix: [flow] FINs pass through the chooser instead of a notice for each, and inherited slots age

And a new chooser inherited slots of requests that had ended before the old one was found dead. Change: a FIN of a flow that carries its target is relayed whole; the chooser counts it and forwards it. Notices are counted as control bytes. Inherited slots halve every 250 ms, counted from when they were sent. Weighed: notices sent in batches (a lost batch loses many closes, and they still grow with the flows).

--- a/src/flow/chooser.cpp
+++ b/src/flow/chooser.cpp
@@ -46,7 +46,7 @@
 // Inherited slots of request flows halve in this time. Closes that went to the previous chooser during the
 // handover never reach this one, and slots held by them would refuse new flows; requests are short, so that
 // two seconds later the count is close to the truth either way.
-constexpr std::int64_t inherited_half_life_ms = 500;
+constexpr std::int64_t inherited_half_life_ms = 250;
 constexpr double slow_start_share = 0.1;
 // One of the 16 shards is scanned at each pause, so an entry expires at most 1.6 s late.
 constexpr std::int64_t scan_pause_ms = 100;
@@ -686,6 +686,15 @@
     return all;
 }
 
+auto aged_counts(const pool_counts& received, std::int64_t age_ms) -> pool_counts {
+    const auto halvings = std::clamp<std::int64_t>(age_ms / inherited_half_life_ms, 0, 31);
+    auto aged = received;
+    for (auto& one : aged) {
+        one.slots_busy >>= halvings;
+    }
+    return aged;
+}
+
 auto pool_chooser::inherit(const pool_counts& previous) -> void {
     const auto lock = std::lock_guard(mutex_);
     for (auto i = std::size_t{0}; i < slots_.size(); ++i) {
--- a/src/flow/chooser_base.h
+++ b/src/flow/chooser_base.h
@@ -263,6 +263,10 @@
     std::minstd_rand random_;
 };
 
+// Returns what is left of counts that were sent `age_ms` ago: slots of request flows halve like those
+// inherited, connections stay.
+auto aged_counts(const pool_counts& received, std::int64_t age_ms) -> pool_counts;
+
 // The choosers of one host, by pool name. Thread-safe.
 class chooser_set {
 public:
--- a/src/flow/flow_state.cpp
+++ b/src/flow/flow_state.cpp
@@ -38,6 +38,7 @@
             flows.received.erase(found);
         }
     }
+    inherited.counts = aged_counts(inherited.counts, at - inherited.at);
     return flows.choosers.of_pool(config, pool, has_inherited ? &inherited.counts : nullptr, at);
 }
 
--- a/src/host/forward.cpp
+++ b/src/host/forward.cpp
@@ -101,8 +101,15 @@
     sink.to_host(host.data, reason, packet.data, packet.headers.size);
 }
 
+// Bytes that a host-to-host packet has on the wire beside the inner packet: Geneve with its option, UDP,
+// IPv4.
+constexpr std::uint64_t relay_overhead_bytes = geneve_relay_header_size + 8 + 20;
+
 auto relay_copy(const host_record& host, relay_reason reason, const std::vector<std::uint8_t>& packet,
                 packet_sink& sink) -> void {
+    if (reason == relay_reason::close_notice) {
+        count(counter::control_bytes_sent, packet.size() + relay_overhead_bytes);
+    }
     count(counter::packets_relayed);
     sink.copy_to_host(host.data, reason, packet.data(), packet.size());
 }
@@ -351,6 +358,43 @@
     return_to_client(context, entry, packet, sink);
 }
 
+// Sends a FIN through the chooser, as opens are. A notice for each FIN would cost more than the control
+// budget of a host at a few hundred closes a second; a FIN that a dying chooser loses is retransmitted by its
+// sender. Returns false if this host is the chooser or the packet is no FIN; resets are not retransmitted, so
+// that they go straight to their end, with a notice.
+auto relay_fin(const forward_context& context, const snapshot_service& found, const packet_in& packet,
+               packet_sink& sink) -> bool {
+    if (!packet.headers.has_flags(tcp_flag::fin) || is_reset(packet.headers)) {
+        return false;
+    }
+    const auto* chooser = other_chooser(context, found);
+    if (chooser == nullptr) {
+        return false;
+    }
+    relay(*chooser, relay_reason::close, packet, sink);
+    return true;
+}
+
+// A FIN that another host sent through this chooser: counts the close and forwards the packet.
+auto close_here(const forward_context& context, const packet_in& packet, const snapshot_service& found,
+                const reverse_entry* reverse, packet_sink& sink) -> void {
+    const auto& pool = context.config->pools[found.pool];
+    const auto index =
+        reverse == nullptr ? packet.headers.timestamp_echo_low : pool.targets[reverse->target].index;
+    const auto* chosen = pool.target_of_index(index);
+    if (chosen == nullptr) {
+        refuse(&found, packet, counter::refuse_unknown_index, sink);
+        return;
+    }
+    const auto sender = reverse == nullptr ? flow_end::client : flow_end::target;
+    note_close(context, found, sender, index, packet, sink);
+    if (reverse == nullptr) {
+        send_to_target(context, found, *chosen, packet, sink);
+    } else {
+        return_to_client(context, *reverse, packet, sink);
+    }
+}
+
 // A packet whose timestamp echo carries the index of its target. Needs no lookup.
 auto forward_by_index(const forward_context& context, const snapshot_service& found, const packet_in& packet,
                       packet_sink& sink) -> void {
@@ -363,6 +407,9 @@
         refuse(&found, packet, counter::refuse_unknown_index, sink);
         return;
     }
+    if (relay_fin(context, found, packet, sink)) {
+        return;
+    }
     if (is_close(packet.headers)) {
         send_close_notice(context, found, flow_end::client, index, packet, sink);
     } else {
@@ -445,10 +492,13 @@
         }
         return;
     }
+    context.flows->notes.note_reverse(id, context.at);
+    if (headers.has_timestamp() && relay_fin(context, found, packet, sink)) {
+        return;
+    }
     if (is_close(headers)) {
         send_close_notice(context, found, flow_end::target, index, packet, sink);
     }
-    context.flows->notes.note_reverse(id, context.at);
     return_to_client(context, entry, packet, sink);
 }
 
@@ -588,6 +638,7 @@
         return;
     }
     if (reason == relay_reason::close_notice && is_tcp(headers)) {
+        count(counter::control_bytes_received, packet.size + relay_overhead_bytes);
         if (found != nullptr) {
             const auto index = headers.has_timestamp() ? headers.timestamp_echo_low : std::uint8_t{0};
             note_close(context, *found, flow_end::client, index, packet, sink);
@@ -596,6 +647,9 @@
             const auto index = config.pools[service.pool].targets[reverse->second.target].index;
             note_close(context, service, flow_end::target, index, packet, sink);
         }
+    } else if (reason == relay_reason::close && is_tcp(headers) && headers.has_timestamp()) {
+        const auto& service = found != nullptr ? *found : config.services[reverse->second.service];
+        close_here(context, packet, service, is_reverse ? &reverse->second : nullptr, sink);
     } else if (reason == relay_reason::open && found != nullptr && is_tcp(headers) && headers.is_syn() &&
                headers.has_timestamp()) {
         open_here(context, *found, packet, sink);
--- a/src/net/geneve.cpp
+++ b/src/net/geneve.cpp
@@ -21,7 +21,7 @@
 
 auto is_relay_reason(std::uint8_t value) -> bool {
     return value >= static_cast<std::uint8_t>(relay_reason::open) &&
-           value <= static_cast<std::uint8_t>(relay_reason::previous_owner);
+           value <= static_cast<std::uint8_t>(relay_reason::close);
 }
 
 // Reads one option at `at`. Unknown options are skipped unless they are critical.
--- a/tests/flow_forward_test.cpp
+++ b/tests/flow_forward_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST_SUITE(flow_forward_test);
     CPPUNIT_TEST(random_flows_stay_at_their_targets_over_any_hosts);
     CPPUNIT_TEST(close_is_counted_once_whatever_hosts_see_it);
+    CPPUNIT_TEST(fin_passes_through_the_chooser_without_control_traffic);
     CPPUNIT_TEST(relayed_packets_of_strangers_are_dropped);
     CPPUNIT_TEST(unknown_index_is_refused_and_never_placed);
     CPPUNIT_TEST(refusal_is_counted_for_its_service_and_recorded);
@@ -125,6 +126,24 @@
         CPPUNIT_ASSERT_EQUAL(0U, counts_at(zone, 1).slots_busy);
     }
 
+    // A notice for each FIN exceeded the control budget of a host.
+    auto fin_passes_through_the_chooser_without_control_traffic() -> void {
+        auto zone = test_zone(4, test_pool(1).build());
+        const auto index = open_flow(zone, client, 0);
+        const auto fin = with_flags(tcp_flag::fin | tcp_flag::ack, index);
+        const auto before = counter_value(counter::control_bytes_sent);
+        for (auto host = std::size_t{0}; host < 4; ++host) {
+            const auto forward = zone.deliver(host, make_tcp(client, web, fin));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, forward.size());
+            CPPUNIT_ASSERT(headers_of(forward[0]).destination == target_address(index));
+            const auto reverse = zone.deliver(host, make_tcp(target_address(index), client, fin));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reverse.size());
+            CPPUNIT_ASSERT(headers_of(reverse[0]).destination == client);
+        }
+        CPPUNIT_ASSERT_EQUAL(before, counter_value(counter::control_bytes_sent));
+        CPPUNIT_ASSERT_EQUAL(0U, counts_at(zone, 1).slots_busy);
+    }
+
     auto relayed_packets_of_strangers_are_dropped() -> void {
         auto zone = test_zone(2, test_pool(1).build());
         const auto syn = make_tcp(client, web, with_flags(tcp_flag::syn));
