--- a/src/flow/chooser.cpp
+++ b/src/flow/chooser.cpp
@@ -16,12 +16,16 @@
 constexpr std::uint8_t is_counted = 8;
 constexpr std::uint8_t is_closed = 16;
 constexpr std::uint8_t knows_sequence = 32;
+constexpr std::uint8_t is_adopted = 64;  // the entry came from a close, not from a SYN
 constexpr std::uint8_t both_fins = has_client_fin | has_target_fin;
 
 // A closed flow's entry is kept this long, so that a retransmitted FIN is not counted as another close.
 constexpr std::uint32_t closed_memory_ms = 8000;
 // A half-closed flow may still answer for long; after this it is taken as lost.
 constexpr std::int64_t half_closed_limit_ms = 120000;
+// The same for a flow that the previous chooser opened: the other FIN has often passed that one, and an entry
+// that waits for it holds a slot for nothing.
+constexpr std::int64_t adopted_half_closed_limit_ms = 2000;
 // A client gives up after several SYNs with growing pauses; the entry outlives the first few of them.
 constexpr std::int64_t half_open_limit_syn_timeouts = 8;
 constexpr std::size_t tried_limit = 4;
@@ -333,7 +337,7 @@
 
 auto pool_chooser::adopt(const flow_id& id, std::uint8_t index, std::uint16_t rules, time_ms at) -> entry& {
     auto& e = shard_of(id)[id];
-    e = entry{low_bits(at), 0, rules, index, 0};
+    e = entry{low_bits(at), 0, rules, index, is_adopted};
     auto& inherited = slots_[index].inherited[kind_position(rules_[rules])];
     if (inherited > 0) {
         --inherited;
@@ -621,8 +625,10 @@
             continue;
         }
         const auto is_half_closed = (e.flags & both_fins) != 0;
+        const auto half_closed_limit =
+            (e.flags & is_adopted) != 0 ? adopted_half_closed_limit_ms : half_closed_limit_ms;
         const auto limit =
-            is_half_closed ? std::min(p.idle_timeout_ms, half_closed_limit_ms) : p.idle_timeout_ms;
+            is_half_closed ? std::min(p.idle_timeout_ms, half_closed_limit) : p.idle_timeout_ms;
         if (age >= limit) {
             count(is_half_closed ? counter::expire_half_closed : counter::expire_idle);
             release(e, at);
--- a/tests/flow_chooser_test.cpp
+++ b/tests/flow_chooser_test.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(reserve_holds_against_waiting_and_only_within_its_kind);
     CPPUNIT_TEST(full_target_takes_as_many_waiting_flows_as_the_profile_says);
     CPPUNIT_TEST(inherited_counts_fall_once_for_each_close);
+    CPPUNIT_TEST(half_closed_flow_of_the_previous_chooser_expires_soon);
     CPPUNIT_TEST(inherited_slots_whose_closes_were_lost_are_free_within_two_seconds);
     CPPUNIT_TEST(half_closed_and_idle_flows_expire);
     CPPUNIT_TEST(false_reports_neither_empty_nor_flood_a_target);
@@ -319,6 +320,21 @@
 
     // Closes that reach the previous chooser during a handover are lost to the next one, which then refused
     // new flows for lack of capacity.
+    // A flow whose other FIN had passed the previous chooser held a slot for two minutes.
+    auto half_closed_flow_of_the_previous_chooser_expires_soon() -> void {
+        auto chooser = pool_chooser("p", "z", 7);
+        auto previous = pool_counts{};
+        previous[1].slots_busy = 1;
+        chooser.inherit(previous);
+        chooser.configure(*test_pool(1).build(), 0, start_);
+        chooser.close(id_of_number(1), flow_end::client, false, 1, true, "r", start_);
+        CPPUNIT_ASSERT_EQUAL(1U, chooser.counts()[1].slots_busy);
+        for (auto elapsed = std::int64_t{0}; elapsed <= 4000; elapsed += 100) {
+            (void)chooser.expire(start_ + elapsed);
+        }
+        CPPUNIT_ASSERT_EQUAL(0U, chooser.counts()[1].slots_busy);
+    }
+
     auto inherited_slots_whose_closes_were_lost_are_free_within_two_seconds() -> void {
         constexpr std::int64_t recovery_limit_ms = 2000;
         auto chooser = pool_chooser("p", "z", 7);
--- a/tests/peer_mesh_test.cpp
+++ b/tests/peer_mesh_test.cpp
@@ -177,7 +177,7 @@
     // Guards against a link that is cut off as silent although the peer only has nothing to say on it.
     auto link_used_in_one_direction_stays_open() -> void {
         constexpr std::int64_t duration_ms =
-            11000;  // longer than the 8 s after which a silent link is cut off
+            11000;  // longer than the 9.5 s after which a silent link is cut off
         auto fleet = peer_fleet(2);
         auto mutex = std::mutex{};
         auto received = std::vector<int>{};
