--- a/src/peer/mesh.cpp
+++ b/src/peer/mesh.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t zone_peers = 4;
 constexpr std::size_t part_size = 1U << 20U;  // a quarter of the largest frame
 constexpr std::size_t served_limit = 4;
-// Changes are announced at once; the periodic announcement only repairs what a broken link lost, and each costs
-// every link a frame. Together with a transfer it stays within the 6 s that a change may take.
+// Changes are announced at once; the periodic announcement only repairs what a broken link lost, and each
+// costs every link a frame. Together with a transfer it stays within the 6 s that a change may take.
 constexpr std::int64_t announce_ms = 4000;
 constexpr std::int64_t transfer_limit_ms = 500;  // without progress, the next host that has more is asked
 constexpr auto step = std::chrono::milliseconds(100);
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t incoming_limit = 256;
 constexpr std::int64_t handshake_limit_ms = 2000;
 constexpr std::int64_t alive_interval_ms = 4500;  // longer than the mesh's announcements are apart
-constexpr std::int64_t silence_limit_ms = 9500;  // twice alive_interval_ms and a margin
+constexpr std::int64_t silence_limit_ms = 9500;   // twice alive_interval_ms and a margin
 constexpr std::int64_t idle_limit_ms = 30000;
 // The accepting side stops using an idle link this long before the opening side closes it, so that no frame
 // arrives after closing has begun. Longer than silence_limit_ms, after which a delayed link counts as broken.
