Change: [rig] host-death and host-join run with the store

Cause: with the file store running hosts never saw the drain of these scenarios, so that the placement hash broke no flow and the check could not fail.

--- a/rig/scenario.cpp
+++ b/rig/scenario.cpp
@@ -339,11 +339,11 @@
     static const std::vector<scenario> all = {
         {"steady", "requests, feeds, UDP and clients without timestamps; nothing fails", 10, 3000, 1, false,
          plan_steady},
-        {"host-death", "a host dies; its replacement starts while a target drains", 12, 3000, 1, false,
+        {"host-death", "a host dies; its replacement starts while a target drains", 12, 3000, 1, true,
          plan_host_death},
         {"demo", "steady flows of both kinds over five hosts, one of which dies", 8, 2000, 1, false,
          plan_demo},
-        {"host-join", "a host joins while a target drains", 10, 3000, 1, false, plan_host_join},
+        {"host-join", "a host joins while a target drains", 10, 3000, 1, true, plan_host_join},
         {"drain", "an operator drains a target", 10, 3000, 1, true, plan_drain},
         {"rolling-restart", "every host is stopped and started, one after the other", 20, 3000, 1, false,
          plan_rolling_restart},
