--- a/src/net/geneve_func.h
+++ b/src/net/geneve_func.h
@@ -12,7 +12,7 @@
 // Why one host relays a packet to another.
 enum class relay_reason : std::uint8_t {
     none = 0,          // the packet came from the fabric
-    open = 1,          // SYN of a caller, for the chooser
+    open = 1,          // SYN of a client, for the chooser
     answer = 2,        // SYN-ACK or SYN-refusing reset of a target, for the chooser
     close_notice = 3,  // copy of the headers of a reset, or of a FIN without timestamps; not to be forwarded
     owner = 4,         // packet of a flow that cannot carry its target, for its owner
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -2,7 +2,7 @@
 // COUNTER. One line each, so that concurrent additions merge.
 COUNTER(packets_received, "packets received from the link")
 COUNTER(packets_forwarded, "packets sent to a target")
-COUNTER(packets_returned, "packets sent to a caller")
+COUNTER(packets_returned, "packets sent to a client")
 COUNTER(packets_relayed, "packets relayed to another host")
 COUNTER(packets_relay_received, "packets received from another host")
 COUNTER(drop_short_packet, "dropped: shorter than its headers say")
