--- a/rig/run.cpp
+++ b/rig/run.cpp
@@ -498,16 +498,19 @@
     }
 }
 
-auto rig_run::control_bytes() const -> std::optional<double> {
+auto rig_run::metrics_page(const run_host& host) const -> result<std::string> {
     const auto settings = read_settings({});
-    const auto keys = auth_keys_of(*settings).value_or(auth_keys{});
+    return ask_admin(host.admin, "/metrics", auth_keys_of(*settings).value_or(auth_keys{}));
+}
+
+auto rig_run::control_bytes() const -> std::optional<double> {
     auto sum = 0.0;
     auto total = 0.0;
     for (const auto& host : hosts) {
         if (!host.is_wanted) {
             continue;
         }
-        const auto page = ask_admin(host.admin, "/metrics", keys);
+        const auto page = metrics_page(host);
         const auto sent = page ? metric_value(*page, "control_bytes_sent") : std::nullopt;
         const auto received = page ? metric_value(*page, "control_bytes_received") : std::nullopt;
         if (!sent || !received) {
@@ -520,9 +523,7 @@
 }
 
 auto rig_run::note_reasons(const run_host& host) -> void {
-    const auto settings = read_settings({});
-    const auto keys = auth_keys_of(*settings).value_or(auth_keys{});
-    if (const auto page = ask_admin(host.admin, "/metrics", keys)) {
+    if (const auto page = metrics_page(host)) {
         add_reasons(*page, reasons_);
     }
 }
--- a/rig/run_base.h
+++ b/rig/run_base.h
@@ -151,6 +151,8 @@
     auto start_store(const ip_address& address) -> result<void>;
     // Changes one document of the store. A lost answer is settled by reading back.
     auto change_document(const std::string& key, const std::function<void(nlohmann::json&)>& change) -> void;
+    // Reads a host's metrics with the key that the hosts inherited. Fails if the host does not answer.
+    auto metrics_page(const run_host& host) const -> result<std::string>;
     auto control_bytes() const -> std::optional<double>;
     // Adds a host's counters to the result; called before a host ends.
     auto note_reasons(const run_host& host) -> void;
