Fix: [flow] Counts survive when the next chooser starts between two parts of them

Cause: counts of a pool with more than 64 targets come in several messages, and the first one cleared all others. A host that became the chooser after the first message took a quarter of the counts, and later messages then replaced them by the other three quarters. Ruled out: age of inherited counts (the flows of the test are feeds, whose counts do not age); the 20 s that the test waits.

Change: a message says which indexes it covers, empty ranges go with the one before, and the receiver replaces only these, in what it keeps and in a running chooser.

Before: role_taken_up_between_parts_of_the_counts_keeps_all, new, fails.

--- a/src/flow/chooser.cpp
+++ b/src/flow/chooser.cpp
@@ -701,9 +701,9 @@
     return aged;
 }
 
-auto pool_chooser::inherit(const pool_counts& previous) -> void {
+auto pool_chooser::inherit(const pool_counts& previous, std::size_t begin, std::size_t end) -> void {
     const auto lock = std::lock_guard(mutex_);
-    for (auto i = std::size_t{0}; i < slots_.size(); ++i) {
+    for (auto i = begin; i < std::min(end, slots_.size()); ++i) {
         slots_[i].inherited = {previous[i].slots_busy, previous[i].connections};
     }
 }
@@ -856,7 +856,7 @@
         if (created == nullptr) {
             created = std::make_shared<pool_chooser>(name, zone_, std::random_device{}());
             if (inherited != nullptr) {
-                created->inherit(*inherited);
+                created->inherit(*inherited, 0, inherited->size());
             }
         }
         found = created;
--- a/src/flow/chooser_base.h
+++ b/src/flow/chooser_base.h
@@ -149,8 +149,9 @@
     // Returns the counts of flows with an entry.
     auto own_counts() const -> pool_counts;
 
-    // Replaces the inherited counts by those of the previous chooser.
-    auto inherit(const pool_counts& previous) -> void;
+    // Replaces the inherited counts by those of the previous chooser, for the indexes from `begin` to before
+    // `end`.
+    auto inherit(const pool_counts& previous, std::size_t begin, std::size_t end) -> void;
 
     // Adds the counts of flows that a host placed without being the chooser.
     auto add_inherited(const indexed_counts& placed) -> void;
--- a/src/host/forward_messages.cpp
+++ b/src/host/forward_messages.cpp
@@ -147,36 +147,45 @@
     return owner != nullptr && owner->name == view.self ? buckets.second_ranked(id) : owner;
 }
 
+auto counts_of_range(const pool_counts& counts, std::size_t begin) -> json {
+    auto list = json::array();
+    for (auto i = std::max<std::size_t>(1, begin); i < begin + counts_range; ++i) {
+        if (counts[i].slots_busy != 0 || counts[i].connections != 0) {
+            append_counts(list, static_cast<std::uint8_t>(i), counts[i]);
+        }
+    }
+    return list;
+}
+
 auto send_counts(const host_record& to, const std::string& pool, const pool_counts& counts, counts_use use,
                  const peer_channel& channel) -> void {
-    for (auto begin = std::size_t{0}; begin < counts.size(); begin += counts_range) {
-        const auto end = begin + counts_range;
-        auto list = json::array();
-        for (auto i = std::max<std::size_t>(1, begin); i < end; ++i) {
-            if (counts[i].slots_busy != 0 || counts[i].connections != 0) {
-                append_counts(list, static_cast<std::uint8_t>(i), counts[i]);
-            }
-        }
-        if (list.empty() && begin != 0) {
-            continue;
-        }
-        const auto body = json{{"p", pool}, {"b", begin}, {"u", static_cast<int>(use)}, {"c", list}};
+    for (auto begin = std::size_t{0}; begin < counts.size();) {
+        const auto list = counts_of_range(counts, begin);
+        // Empty ranges go with the one before, so that the receiver clears exactly what a message covers.
+        auto end = begin + counts_range;
+        while (end < counts.size() && counts_of_range(counts, end).empty()) {
+            end += counts_range;
+        }
+        const auto body =
+            json{{"p", pool}, {"b", begin}, {"e", end}, {"u", static_cast<int>(use)}, {"c", list}};
         if (use == counts_use::keep) {
             channel.send(to, counts_type, body);
         } else {
             channel.send_reliable(to, counts_type, body);
         }
+        begin = end;
     }
 }
 
 auto on_counts(host_state& host, const json& body) -> void {
     const auto pool = text_field(body, "p");
     const auto begin = number_field(body, "b");
+    const auto end = number_field(body, "e");
     const auto use = number_field(body, "u");
     auto list = indexed_counts{};
     const auto config = host.config.load();
     // Unknown pools are refused, so that the table of received counts cannot grow without limit.
-    if (begin < 0 || begin > 255 || use < 0 || use > 2 || !counts_field(body, "c", list) ||
+    if (begin < 0 || end <= begin || end > 256 || use < 0 || use > 2 || !counts_field(body, "c", list) ||
         pool_position(*config, pool) < 0) {
         reject();
         return;
@@ -191,15 +200,14 @@
     }
     const auto lock = std::lock_guard(host.flows.received_mutex);
     auto& kept = host.flows.received[pool];
-    // Ranges without any count are not sent, so the first one starts the array anew.
-    const auto first = static_cast<std::size_t>(begin);
-    std::fill(kept.counts.begin() + static_cast<std::ptrdiff_t>(first), kept.counts.end(), target_counts{});
+    // Only what the message covers is replaced: this host may become the chooser between two parts.
+    std::fill(kept.counts.begin() + begin, kept.counts.begin() + end, target_counts{});
     for (const auto& [index, held] : list) {
         kept.counts[index] = held;
     }
     kept.at = at;
     if (use == static_cast<int>(counts_use::replace) && chooser != nullptr) {
-        chooser->inherit(kept.counts);
+        chooser->inherit(kept.counts, static_cast<std::size_t>(begin), static_cast<std::size_t>(end));
     }
 }
 
--- a/tests/flow_chooser_test.cpp
+++ b/tests/flow_chooser_test.cpp
@@ -301,7 +301,7 @@
         auto chooser = pool_chooser("p", "z", 7);
         auto previous = pool_counts{};
         previous[1].slots_busy = 2;
-        chooser.inherit(previous);
+        chooser.inherit(previous, 0, previous.size());
         chooser.configure(*test_pool(2).build(), 0, start_);
         CPPUNIT_ASSERT_EQUAL(2, int{open(chooser, 0, start_)});
         // A flow that an owner holds was never counted here, so its close must not count either.
@@ -325,7 +325,7 @@
         auto chooser = pool_chooser("p", "z", 7);
         auto previous = pool_counts{};
         previous[1].slots_busy = 1;
-        chooser.inherit(previous);
+        chooser.inherit(previous, 0, previous.size());
         chooser.configure(*test_pool(1).build(), 0, start_);
         chooser.close(id_of_number(1), flow_end::client, false, 1, true, "r", start_);
         CPPUNIT_ASSERT_EQUAL(1U, chooser.counts()[1].slots_busy);
@@ -340,7 +340,7 @@
         auto chooser = pool_chooser("p", "z", 7);
         auto previous = pool_counts{};
         previous[1] = {3, 1000};
-        chooser.inherit(previous);
+        chooser.inherit(previous, 0, previous.size());
         chooser.configure(*test_pool(1).build(), 0, start_);
         for (auto elapsed = std::int64_t{0}; elapsed <= recovery_limit_ms; elapsed += 100) {
             (void)chooser.expire(start_ + elapsed);
--- a/tests/flow_messages_test.cpp
+++ b/tests/flow_messages_test.cpp
@@ -138,6 +138,7 @@
 class flow_messages_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(flow_messages_test);
     CPPUNIT_TEST(counts_survive_the_death_of_a_chooser);
+    CPPUNIT_TEST(role_taken_up_between_parts_of_the_counts_keeps_all);
     CPPUNIT_TEST(stopping_host_hands_counts_and_exceptions_over);
     CPPUNIT_TEST(exception_reaches_the_second_ranked_host);
     CPPUNIT_TEST(owner_counts_reach_the_chooser);
@@ -168,6 +169,29 @@
         CPPUNIT_ASSERT(zone.largest <= 1100);  // a datagram holds 1200 bytes with its envelope
     }
 
+    // Counts of a large pool come in several messages. The next chooser may start between two of them.
+    auto role_taken_up_between_parts_of_the_counts_keeps_all() -> void {
+        const auto pool = test_pool(200).build();
+        auto zone = message_zone(2, pool);
+        const auto first = zone.chooser();
+        const auto next = 1 - first;
+        open_flows(*chooser_of(zone.hosts[first]->flows, *pool, 0, now()), 0, 500);
+        const auto before = zone.counts(first);
+        auto& handler = zone.handlers[next]["flow-counts"];
+        const auto handle = handler;
+        auto parts = 0;
+        handler = [&](const std::string& sender, const nlohmann::json& body) {
+            handle(sender, body);
+            ++parts;
+            chooser_of(zone.hosts[next]->flows, *pool, 0, now());
+        };
+        zone.alive[first] = false;
+        zone.publish_views();
+        hand_over_flows(*zone.hosts[first], zone.channels[first]);
+        CPPUNIT_ASSERT(parts > 1);
+        CPPUNIT_ASSERT(zone.counts(next) == before);
+    }
+
     auto stopping_host_hands_counts_and_exceptions_over() -> void {
         const auto pool = test_pool(5).build();
         auto zone = message_zone(3, pool);
