Fix: [edge] A host that stood still drops openings that waited and suspects no target

A host that stood still for 2.6 s forwarded an opening that had waited in its socket, took targets for suspects whose answers had gone through other hosts, and counted data and its retransmission, read together, as a flow that stalls. Shorter pauses had a smaller form of it: due retries were taken before the socket was read.

Change: after a pause of a second, packets that wait in the socket are forwarded without being judged, openings among them are dropped, pending openings are forgotten and targets start anew as not stalled. Before an opening is sent again, the socket is read.

Tests: opening_that_waited_during_a_pause_is_dropped, packets_that_waited_during_a_pause_make_no_target_dead and pause_of_this_host_makes_no_target_a_suspect need packet_reason::waited_opening and note_pause, and cannot pass without them.

--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -105,6 +105,7 @@
 
 private:
     auto make_follower_events() -> follower_events;
+    auto observe_time() -> time_ms;
     auto handle_packets() -> void;
     auto handle_one(packet_buffer& buffer, time_ms at, std::int64_t view_age) -> void;
     auto forward(packet_buffer& buffer, const client_packet& packet, const packet_verdict& verdict) -> void;
@@ -148,6 +149,7 @@
     bool is_stopping_ = false;
     bool was_ready_ = false;
     bool reads_packets_ = false;
+    bool packets_waited_ = false;  // those in the socket, while this host stood still
     bool loads_changed_ = false;
     bool has_zone_peers_ = false;
     time_ms next_load_;
@@ -192,8 +194,21 @@
     return std::min(follower_.answer_age_ms(at), told_view_age_ms(group_, state_.known.revision, at));
 }
 
-auto edge_host::handle_packets() -> void {
+// Returns the time, and notes if this host stood still since the time before. The handler of packets asks here
+// first: a pause mostly ends with sockets that are ready.
+auto edge_host::observe_time() -> time_ms {
     const auto at = boot_now();
+    if (at - last_turn_ > stood_still_ms) {
+        write_log(log_event::edge_resumed, {{"ms", std::to_string(at - last_turn_)}});
+        note_pause(state_, at);
+        packets_waited_ = reads_packets_;
+    }
+    last_turn_ = at;
+    return at;
+}
+
+auto edge_host::handle_packets() -> void {
+    const auto at = observe_time();
     const auto age = view_age_ms(at);
     for (auto turn = 0; turn < batches_per_turn; ++turn) {
         const auto got = packets_.read();
@@ -204,6 +219,7 @@
         packets_.send_all();
         resets_.clear();
         if (got < packet_batch) {
+            packets_waited_ = false;
             return;
         }
     }
@@ -217,7 +233,7 @@
         return;
     }
     last_packet_ = at;
-    const auto verdict = handle_packet(state_, *packet, {view_age < store_reached_ms}, at);
+    const auto verdict = handle_packet(state_, *packet, {view_age < store_reached_ms, packets_waited_}, at);
     count_verdict(verdict);
     if (verdict.is_logged) {
         log_verdict(state_, *packet, verdict, view_age);
@@ -252,6 +268,10 @@
 }
 
 auto edge_host::send_retries(time_ms at) -> void {
+    if (state_.pending.empty() || at < state_.pending.front().deadline) {
+        return;
+    }
+    handle_packets();
     const auto retries = take_open_retries(state_, at);
     if (retries.empty()) {
         return;
@@ -502,11 +522,7 @@
     last_turn_ = boot_now();
     started_ = last_turn_;
     while (true) {
-        const auto at = boot_now();
-        if (at - last_turn_ > stood_still_ms) {
-            write_log(log_event::edge_resumed, {{"ms", std::to_string(at - last_turn_)}});
-        }
-        last_turn_ = at;
+        const auto at = observe_time();
         if (stop_requested != 0 && !is_stopping_) {
             is_stopping_ = true;
             stop_began_ = at;
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -18,6 +18,8 @@
             return counter::edge_open_retried;
         case packet_reason::no_configuration:
             return counter::edge_no_configuration;
+        case packet_reason::waited_opening:
+            return counter::edge_waited_opening;
         case packet_reason::unknown_route:
             return counter::edge_unknown_route;
         case packet_reason::stale_route:
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -88,11 +88,11 @@
     return target;
 }
 
-auto handle_open(forwarding_state& state, const client_packet& packet, view_age age, time_ms at)
+auto handle_open(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
     -> packet_verdict {
     auto* route = find_route(state.known, packet.flow);
     if (route == nullptr) {
-        return age.is_current ? refuse(packet_reason::unknown_route) : drop(packet_reason::stale_route);
+        return context.is_view_current ? refuse(packet_reason::unknown_route) : drop(packet_reason::stale_route);
     }
     auto& flow = state.flows[packet.flow];
     if (flow.is_open) {
@@ -196,7 +196,7 @@
     return pause;
 }
 
-auto handle_unknown_carrier(forwarding_state& state, const client_packet& packet, view_age age, time_ms at)
+auto handle_unknown_carrier(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
     -> packet_verdict {
     if (packet.payload_bytes == 0) {
         return drop(packet_reason::unknown_carrier);
@@ -207,7 +207,7 @@
     const auto was_seen = flow.last_packet != time_ms{} && flow.highest_sequence == packet.sequence;
     flow.last_packet = at;
     flow.highest_sequence = packet.sequence;
-    if (was_seen && age.is_current && can_place(state.known)) {
+    if (was_seen && context.is_view_current && can_place(state.known)) {
         state.flows.erase(packet.flow);
         return refuse(packet_reason::unknown_carrier_reset);
     }
@@ -222,18 +222,18 @@
            (target.has_left || is_retransmission);
 }
 
-auto handle_established(forwarding_state& state, const client_packet& packet, view_age age, time_ms at)
+auto handle_established(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
     -> packet_verdict {
     if (packet.carrier == 0) {
         return drop(packet_reason::no_carrier);
     }
     auto* route = find_route(state.known, packet.flow);
     if (route == nullptr) {
-        return age.is_current ? refuse(packet_reason::unknown_route) : drop(packet_reason::stale_route);
+        return context.is_view_current ? refuse(packet_reason::unknown_route) : drop(packet_reason::stale_route);
     }
     const auto found = state.known.by_carrier.find(packet.carrier);
     if (found == state.known.by_carrier.end()) {
-        return handle_unknown_carrier(state, packet, age, at);
+        return handle_unknown_carrier(state, packet, context, at);
     }
     const auto index = found->second;
     auto& target = state.known.targets[index];
@@ -242,6 +242,9 @@
     }
     const auto forward =
         packet_verdict{packet_action::forward, packet_reason::established, index, false, false};
+    if (context.has_waited && !packet.is_fin) {
+        return forward;  // the flow has gone on through other hosts meanwhile
+    }
     auto entry = state.flows.find(packet.flow);
     if (entry == state.flows.end()) {
         if (packet.payload_bytes == 0 || packet.is_fin || packet.is_rst) {
@@ -289,15 +292,27 @@
 
 }  // namespace
 
-auto handle_packet(forwarding_state& state, const client_packet& packet, view_age age, time_ms at)
+auto handle_packet(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
     -> packet_verdict {
     if (!can_place(state.known)) {
         return drop(packet_reason::no_configuration);
     }
+    if (packet.is_syn && context.has_waited) {
+        return drop(packet_reason::waited_opening);
+    }
     if (packet.is_syn) {
-        return handle_open(state, packet, age, at);
+        return handle_open(state, packet, context, at);
+    }
+    return handle_established(state, packet, context, at);
+}
+
+auto note_pause(forwarding_state& state, time_ms at) -> void {
+    state.pending.clear();
+    for (auto& target : state.known.targets) {
+        target.load.stalled_flows = 0;
+        ++target.load.progress_epoch;
+        target.load.waiting_since = at;
     }
-    return handle_established(state, packet, age, at);
 }
 
 auto take_open_retries(forwarding_state& state, time_ms at) -> std::vector<open_retry> {
@@ -351,6 +366,8 @@
             return "open_retried";
         case packet_reason::no_configuration:
             return "no_configuration";
+        case packet_reason::waited_opening:
+            return "waited_opening";
         case packet_reason::unknown_route:
             return "unknown_route";
         case packet_reason::stale_route:
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -56,6 +56,7 @@
     opened,                 // a new flow was placed
     open_retried,           // another target was chosen for an opening packet
     no_configuration,       // nothing is known yet
+    waited_opening,         // an opening packet waited in the socket while this host stood still
     unknown_route,          // no route has this address
     stale_route,            // no route has this address, but the configuration may be out of date
     no_target,              // no target of the service takes flows
@@ -116,16 +117,22 @@
     std::minstd_rand random{1};
 };
 
-// How current the view of the store is when a packet is judged.
-struct view_age {
-    bool is_current = false;  // heard from the store, or from a host that did, within seconds
+// The circumstances in which a packet is judged.
+struct packet_context {
+    bool is_view_current = false;  // heard from the store, or from a host that did, within seconds
+    bool has_waited = false;       // in the socket while this host stood still, perhaps for seconds
 };
 
 // Judges a client's packet and notes what it tells of flow and target.
-auto handle_packet(forwarding_state& state, const client_packet& packet, view_age age, time_ms at)
+auto handle_packet(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
     -> packet_verdict;
 
-// Returns the opening packets that got no answer in time, with the next target for each.
+// Notes that this host stood still. Silence during that time says nothing of targets: answers and
+// retransmissions went through other hosts or wait in the socket.
+auto note_pause(forwarding_state& state, time_ms at) -> void;
+
+// Returns the opening packets that got no answer in time, with the next target for each. All packets that have
+// arrived are to be handled before, or answers that wait in the socket look like silence.
 auto take_open_retries(forwarding_state& state, time_ms at) -> std::vector<open_retry>;
 
 // Forgets flows without packets for `idle_ms`, and requests without a response for too long.
--- a/tests/edge_forwarding_test.cpp
+++ b/tests/edge_forwarding_test.cpp
@@ -31,6 +31,9 @@
     CPPUNIT_TEST(retransmissions_to_a_host_that_just_started_are_no_dead_target);
     CPPUNIT_TEST(requests_that_all_take_long_are_no_dead_target);
     CPPUNIT_TEST(two_retransmitting_flows_are_no_dead_target);
+    CPPUNIT_TEST(opening_that_waited_during_a_pause_is_dropped);
+    CPPUNIT_TEST(packets_that_waited_during_a_pause_make_no_target_dead);
+    CPPUNIT_TEST(pause_of_this_host_makes_no_target_a_suspect);
     CPPUNIT_TEST(counts_return_to_zero);
     CPPUNIT_TEST(request_without_response_does_not_count_for_ever);
     CPPUNIT_TEST(reset_of_a_second_answer_does_not_end_the_flow);
@@ -347,6 +350,49 @@
         }
     }
 
+    // The client has given up or opened through another host; a late opening takes a slot for nobody.
+    auto opening_that_waited_during_a_pause_is_dropped() -> void {
+        auto state = test_state({{"i-1"}, {"i-2"}});
+        const auto verdict = handle_packet(state, opening(1), after_a_pause, test_start);
+        CPPUNIT_ASSERT(verdict.action == packet_action::drop);
+        CPPUNIT_ASSERT(verdict.reason == packet_reason::waited_opening);
+        CPPUNIT_ASSERT(state.flows.empty());
+        CPPUNIT_ASSERT(state.pending.empty());
+    }
+
+    // Data and its retransmissions wait together in the socket of a host that stands still.
+    auto packets_that_waited_during_a_pause_make_no_target_dead() -> void {
+        auto state = test_state({{"i-1"}});
+        const auto carrier = carrier_of(state, handle_packet(state, opening(99), current_view, test_start));
+        auto at = test_start;
+        for (auto port = std::uint16_t{1}; port <= 4; ++port) {
+            open_flow(state, port, at);
+            handle_packet(state, data(port, carrier, 0), current_view, at);
+        }
+        at = at + 3000;
+        note_pause(state, at);
+        for (const auto context : {after_a_pause, current_view}) {
+            for (auto port = std::uint16_t{1}; port <= 4; ++port) {
+                const auto verdict = handle_packet(state, data(port, carrier, 0), context, at);
+                CPPUNIT_ASSERT(verdict.action == packet_action::forward);
+            }
+        }
+    }
+
+    // The answers went through other hosts while this one stood still.
+    auto pause_of_this_host_makes_no_target_a_suspect() -> void {
+        auto state = test_state({{"i-1"}, {"i-2"}});
+        for (auto port = std::uint16_t{1}; port <= 6; ++port) {
+            handle_packet(state, opening(port), current_view, test_start);
+        }
+        note_pause(state, test_start + 3000);
+        CPPUNIT_ASSERT(take_open_retries(state, test_start + 3000).empty());
+        for (const auto* name : {"i-1", "i-2"}) {
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, load(state, name).silent_opens);
+            CPPUNIT_ASSERT(load(state, name).suspect_until == time_ms{});
+        }
+    }
+
     // The last packet of a response may not be acknowledged until the next request.
     auto request_without_response_does_not_count_for_ever() -> void {
         auto state = test_state({{"i-1"}});
--- a/tests/edge_test_func.h
+++ b/tests/edge_test_func.h
@@ -73,8 +73,9 @@
 constexpr std::uint32_t test_service_address = 0xc6120001;  // 198.18.0.1
 constexpr std::uint32_t test_client_address = 0x64400007;   // 100.64.0.7
 constexpr auto test_start = time_ms{100000};
-constexpr auto current_view = view_age{true};
-constexpr auto old_view = view_age{false};
+constexpr auto current_view = packet_context{true, false};
+constexpr auto old_view = packet_context{false, false};
+constexpr auto after_a_pause = packet_context{false, true};
 
 // A state with one route to "desk" at port 443 and these targets.
 inline auto test_state(const std::vector<test_target>& targets,
