Change: [edge] Heartbeats to a fixed number of hosts in large fleets; targets of a zone are dealt among its hosts

Change: in fleets of more than 12 hosts a host tells the two next addresses of its zone, three drawn hosts of it and two of others. The word that the store is reached passes from lower to higher addresses, and hosts take over the watch one after the other. New revisions are passed on at once. Loads are told to at most two other hosts of the zone, within 7 KB/s by the size of the message. From three hosts on, a zone's targets are dealt by rendezvous hashing; another host's share is taken when it is less loaded by 0.5 a slot. Hosts silent for a second no longer come and go in the logs of large fleets.

Tests: edge_fleet_test (5 to 300 hosts: one watch, news within a second, takeover, members, bytes), dealing in edge_peer_test, and hosts_of_a_large_zone_find_the_free_slots with the old way as the one that fails. large_fleet_tells_its_zone_and_few_others is replaced by large_fleet_tells_a_fixed_number, which bounds the number at any size.

--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -58,10 +58,11 @@
     target_entry entry;
     std::uint64_t revision = 0;
     presence state = presence::registered;
-    bool has_left = false;   // gone after draining: its flows have ended
-    time_ms changed_at;      // when `state` changed
-    time_ms cold_until;      // slower than usual before this time
-    bool is_in_use = false;  // the record is taken
+    bool has_left = false;            // gone after draining: its flows have ended
+    time_ms changed_at;               // when `state` changed
+    time_ms cold_until;               // slower than usual before this time
+    bool is_in_use = false;           // the record is taken
+    bool is_dealt_elsewhere = false;  // another host of the zone is the one to send it new flows
     target_load load;
 };
 
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -44,6 +44,16 @@
 // some 10 ms.
 constexpr std::int64_t hold_packets_ms = 500;
 
+// How often other hosts' words are gone through when none has come in; one that does is looked at at once.
+constexpr std::int64_t peer_check_ms = 50;
+
+// In a large fleet, one heartbeat in so many goes to the seeds too, so that parts of the fleet that lost each
+// other meet again.
+constexpr unsigned seed_interval_heartbeats = 25;
+
+// A heartbeat names up to 16 hosts and tells loads only in zones of few hosts.
+constexpr std::size_t largest_heartbeat_bytes = 16384;
+
 // Batches of packets handled before other sockets and timers have their turn.
 constexpr auto batches_per_turn = 4;
 
@@ -113,9 +123,12 @@
     auto send_retries(time_ms at) -> void;
     auto handle_heartbeats() -> void;
     auto send_heartbeats(time_ms at) -> void;
+    auto add_seeds(std::vector<std::uint32_t>& receivers, time_ms at) -> void;
     auto tell_loads(time_ms at) -> void;
-    auto send_heartbeat_to(const std::vector<std::uint32_t>& receivers, time_ms at) -> void;
-    auto make_heartbeat(time_ms at) const -> heartbeat;
+    auto send_heartbeat_to(const std::vector<std::uint32_t>& receivers, time_ms at) -> std::size_t;
+    auto make_heartbeat(time_ms at) -> heartbeat;
+    auto consult_peers(time_ms at) -> void;
+    auto deal(time_ms at) -> void;
     auto sync_with_peers(time_ms at) -> void;
     auto apply_changes(const result<http_answer>& answer) -> void;
     auto choose_role(time_ms at) -> void;
@@ -124,7 +137,7 @@
     auto note_ready() -> void;
     auto read_packets_when_useful(time_ms at) -> void;
     auto is_ready() const -> bool { return can_place(state_.known) && !is_stopping_; }
-    auto view_age_ms(time_ms at) const -> std::int64_t;
+    auto view_age_ms(time_ms at) -> std::int64_t;
     auto next_time(time_ms at) const -> time_ms;
     auto may_stop(time_ms at) const -> bool;
     auto answer_ready(std::string_view target) -> http_answer;
@@ -151,7 +164,14 @@
     bool reads_packets_ = false;
     bool packets_waited_ = false;  // those in the socket, while this host stood still
     bool loads_changed_ = false;
-    bool has_zone_peers_ = false;
+    std::size_t told_peers_ = 0;  // other hosts of the zone that loads are told to
+    bool has_news_ = false;       // of other hosts, not gone through yet
+    time_ms next_peer_check_;
+    std::int64_t told_age_ms_ = 0;  // of the view, by other hosts' words at told_age_at_
+    time_ms told_age_at_;
+    std::vector<std::uint32_t> dealt_hosts_;  // other hosts that the zone's targets are dealt among
+    std::uint64_t dealt_revision_ = 0;
+    std::vector<char> heartbeat_buffer_ = std::vector<char>(largest_heartbeat_bytes);
     time_ms next_load_;
     time_ms started_;
     time_ms stop_began_;
@@ -190,12 +210,16 @@
     return watched;
 }
 
-auto edge_host::view_age_ms(time_ms at) const -> std::int64_t {
-    return std::min(follower_.answer_age_ms(at), told_view_age_ms(group_, state_.known.revision, at));
+auto edge_host::view_age_ms(time_ms at) -> std::int64_t {
+    if (at - told_age_at_ >= peer_check_ms) {
+        told_age_at_ = at;
+        told_age_ms_ = told_view_age_ms(group_, state_.known.revision, at);
+    }
+    return std::min(follower_.answer_age_ms(at), told_age_ms_ + (at - told_age_at_));
 }
 
-// Returns the time, and notes if this host stood still since the time before. The handler of packets asks here
-// first: a pause mostly ends with sockets that are ready.
+// Returns the time, and notes if this host stood still since the time before. The handler of packets asks
+// here first: a pause mostly ends with sockets that are ready.
 auto edge_host::observe_time() -> time_ms {
     const auto at = boot_now();
     if (at - last_turn_ > stood_still_ms) {
@@ -293,15 +317,16 @@
 auto edge_host::handle_heartbeats() -> void {
     const auto at = boot_now();
     auto from = sockaddr_in{};
-    auto bytes = std::array<char, 65536>{};
+    has_news_ = true;
     for (auto i = std::size_t{0}; i < packet_batch; ++i) {
         auto length = socklen_t{sizeof(from)};
-        const auto got = recvfrom(peer_packets_.fd(), bytes.data(), bytes.size(), MSG_DONTWAIT,
-                                  reinterpret_cast<sockaddr*>(&from), &length);
+        const auto got = recvfrom(peer_packets_.fd(), heartbeat_buffer_.data(), heartbeat_buffer_.size(),
+                                  MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&from), &length);
         if (got <= 0) {
             return;
         }
-        auto beat = decode_heartbeat(std::string_view(bytes.data(), static_cast<std::size_t>(got)));
+        auto beat =
+            decode_heartbeat(std::string_view(heartbeat_buffer_.data(), static_cast<std::size_t>(got)));
         if (!beat) {
             count(counter::edge_malformed);
             continue;
@@ -310,24 +335,22 @@
         const auto zone = beat->zone;
         if (note_heartbeat(group_, state_.known, sender, std::move(*beat), at)) {
             write_log(log_event::peer_alive, {{"peer", address_text(sender)}, {"peer_zone", zone}});
-            next_heartbeat_ = at;  // the sender learns of this host at once
+            send_heartbeat_to({sender}, at);  // it learns of this host at once
         }
     }
 }
 
-auto edge_host::make_heartbeat(time_ms at) const -> heartbeat {
+auto edge_host::make_heartbeat(time_ms at) -> heartbeat {
     auto beat = heartbeat{};
     beat.zone = settings_.zone;
     beat.revision = state_.known.is_complete ? state_.known.revision : 0;
-    beat.store_age_ms = follower_.answer_age_ms(at);
+    beat.store_age_ms = zone_store_age_ms(group_, follower_.answer_age_ms(at), at);
     beat.view_age_ms = view_age_ms(at);
     beat.is_leaving = is_stopping_;
-    for (const auto& [address, peer] : group_.peers) {
-        if (is_alive(peer, at) && beat.peers.size() < peers_named) {
-            beat.peers.push_back(address);
-        }
+    beat.peers = named_peers(group_, at, state_.random);
+    if (zone_peers(group_, at).size() <= told_zone_peers) {
+        beat.loads = own_loads(state_.known);
     }
-    beat.loads = own_loads(state_.known);
     return beat;
 }
 
@@ -337,6 +360,19 @@
     }
     next_heartbeat_ = at + heartbeat_ms;
     auto receivers = heartbeat_receivers(group_, at, state_.random);
+    add_seeds(receivers, at);
+    const auto bytes = send_heartbeat_to(receivers, at);
+    loads_changed_ = false;
+    const auto near = zone_peers(group_, at).size();
+    told_peers_ = near <= told_zone_peers ? near : 0;
+    next_load_ = at + load_interval_ms(told_peers_, bytes);
+}
+
+// Adds the seeds that were not heard lately.
+auto edge_host::add_seeds(std::vector<std::uint32_t>& receivers, time_ms at) -> void {
+    if (is_large_fleet(group_) && state_.random() % seed_interval_heartbeats != 0) {
+        return;
+    }
     for (const auto& seed : settings_.seeds) {
         const auto address = address_number(seed.address);
         const auto found = group_.peers.find(address);
@@ -345,27 +381,23 @@
             receivers.push_back(address);
         }
     }
-    send_heartbeat_to(receivers, at);
-    loads_changed_ = false;
-    const auto near = zone_peers(group_, at).size();
-    has_zone_peers_ = near != 0;
-    next_load_ = at + load_interval_ms(near);
 }
 
 // Tells hosts of the zone at once, within the interval, when requests began or ended.
 auto edge_host::tell_loads(time_ms at) -> void {
-    if (!loads_changed_ || at < next_load_) {
+    if (!loads_changed_ || told_peers_ == 0 || at < next_load_) {
         return;
     }
     const auto near = zone_peers(group_, at);
-    send_heartbeat_to(near, at);
+    const auto bytes = send_heartbeat_to(near, at);
     loads_changed_ = false;
-    next_load_ = at + load_interval_ms(near.size());
+    next_load_ = at + load_interval_ms(near.size(), bytes);
 }
 
-auto edge_host::send_heartbeat_to(const std::vector<std::uint32_t>& receivers, time_ms at) -> void {
+// Returns the size of the message.
+auto edge_host::send_heartbeat_to(const std::vector<std::uint32_t>& receivers, time_ms at) -> std::size_t {
     if (receivers.empty()) {
-        return;
+        return 0;
     }
     const auto bytes = encode_heartbeat(make_heartbeat(at));
     for (const auto address : receivers) {
@@ -373,6 +405,34 @@
                             settings_.peer_address.port);
     }
     peer_packets_.send_all();
+    return bytes.size();
+}
+
+// Goes through what other hosts told, when there is something new or some time has passed.
+auto edge_host::consult_peers(time_ms at) -> void {
+    sync_client_.on_time(at);
+    if (!has_news_ && at < next_peer_check_) {
+        return;
+    }
+    has_news_ = false;
+    next_peer_check_ = at + peer_check_ms;
+    choose_role(at);
+    sync_with_peers(at);
+    deal(at);
+}
+
+// Deals the zone's targets anew when its hosts or targets have changed.
+auto edge_host::deal(time_ms at) -> void {
+    auto hosts = zone_members(group_, at);
+    if (hosts.size() < dealt_zone_peers) {
+        hosts.clear();
+    }
+    if (hosts == dealt_hosts_ && dealt_revision_ == state_.known.revision) {
+        return;
+    }
+    dealt_revision_ = state_.known.revision;
+    dealt_hosts_ = std::move(hosts);
+    deal_targets(state_.known, settings_.zone, group_.own_address, dealt_hosts_);
 }
 
 auto edge_host::choose_role(time_ms at) -> void {
@@ -385,7 +445,6 @@
 }
 
 auto edge_host::sync_with_peers(time_ms at) -> void {
-    sync_client_.on_time(at);
     if (sync_client_.is_busy()) {
         return;
     }
@@ -434,6 +493,10 @@
     }
     state_.known.revision = std::max(state_.known.revision, changes->revision);
     state_.known.is_complete = true;
+    has_news_ = true;  // there may be more
+    if (is_large_fleet(group_)) {
+        next_heartbeat_ = at;  // passes it on
+    }
 }
 
 auto edge_host::expire(time_ms at) -> void {
@@ -494,7 +557,7 @@
 auto edge_host::next_time(time_ms at) const -> time_ms {
     auto next = std::min({next_heartbeat_, next_expiry_, next_log_, follower_.next_time(),
                           at + static_cast<std::int64_t>(stood_still_ms / 2)});
-    if (loads_changed_ && has_zone_peers_) {
+    if (loads_changed_ && told_peers_ != 0) {
         next = std::min(next, next_load_);
     }
     if (!state_.pending.empty()) {
@@ -536,9 +599,8 @@
             break;
         }
         send_retries(at);
-        choose_role(at);
+        consult_peers(at);
         follower_.on_time(at);
-        sync_with_peers(at);
         send_heartbeats(at);
         tell_loads(at);
         expire(at);
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -92,7 +92,8 @@
     -> packet_verdict {
     auto* route = find_route(state.known, packet.flow);
     if (route == nullptr) {
-        return context.is_view_current ? refuse(packet_reason::unknown_route) : drop(packet_reason::stale_route);
+        return context.is_view_current ? refuse(packet_reason::unknown_route)
+                                       : drop(packet_reason::stale_route);
     }
     auto& flow = state.flows[packet.flow];
     if (flow.is_open) {
@@ -196,8 +197,8 @@
     return pause;
 }
 
-auto handle_unknown_carrier(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
-    -> packet_verdict {
+auto handle_unknown_carrier(forwarding_state& state, const client_packet& packet, packet_context context,
+                            time_ms at) -> packet_verdict {
     if (packet.payload_bytes == 0) {
         return drop(packet_reason::unknown_carrier);
     }
@@ -222,14 +223,15 @@
            (target.has_left || is_retransmission);
 }
 
-auto handle_established(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
-    -> packet_verdict {
+auto handle_established(forwarding_state& state, const client_packet& packet, packet_context context,
+                        time_ms at) -> packet_verdict {
     if (packet.carrier == 0) {
         return drop(packet_reason::no_carrier);
     }
     auto* route = find_route(state.known, packet.flow);
     if (route == nullptr) {
-        return context.is_view_current ? refuse(packet_reason::unknown_route) : drop(packet_reason::stale_route);
+        return context.is_view_current ? refuse(packet_reason::unknown_route)
+                                       : drop(packet_reason::stale_route);
     }
     const auto found = state.known.by_carrier.find(packet.carrier);
     if (found == state.known.by_carrier.end()) {
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -131,8 +131,8 @@
 // retransmissions went through other hosts or wait in the socket.
 auto note_pause(forwarding_state& state, time_ms at) -> void;
 
-// Returns the opening packets that got no answer in time, with the next target for each. All packets that have
-// arrived are to be handled before, or answers that wait in the socket look like silence.
+// Returns the opening packets that got no answer in time, with the next target for each. All packets that
+// have arrived are to be handled before, or answers that wait in the socket look like silence.
 auto take_open_retries(forwarding_state& state, time_ms at) -> std::vector<open_retry>;
 
 // Forgets flows without packets for `idle_ms`, and requests without a response for too long.
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -28,6 +28,33 @@
     peer.counted.clear();
 }
 
+// When there was last a sign that the host lives.
+auto last_sign(const peer_record& peer) -> time_ms {
+    return std::max(peer.heard, peer.named);
+}
+
+// Whether a host whose zone is known takes part. In a large fleet each hears only a part of the others, and
+// takes the word of hosts that heard the rest.
+auto is_member(const peer_group& group, const peer_record& peer, time_ms at) -> bool {
+    return is_large_fleet(group) ? peer.was_heard && at - last_sign(peer) < member_ms : is_alive(peer, at);
+}
+
+// Whether a host is of the own zone and has a lower address.
+auto is_lower_of_zone(const peer_group& group, std::uint32_t address, const peer_record& peer) -> bool {
+    return address < group.own_address && peer.last.zone == group.zone;
+}
+
+// Moves up to `most` addresses, drawn at random, to the end of `to`.
+auto draw(std::vector<std::uint32_t>& from, std::size_t most, std::vector<std::uint32_t>& to,
+          std::minstd_rand& random) -> void {
+    for (auto i = std::size_t{0}; i < most && !from.empty(); ++i) {
+        const auto pick = random() % from.size();
+        to.push_back(from[pick]);
+        from[pick] = from.back();
+        from.pop_back();
+    }
+}
+
 auto add_loads(peer_record& peer, directory& known) -> void {
     for (const auto& told : peer.last.loads) {
         const auto found = known.by_carrier.find(told.carrier);
@@ -91,6 +118,10 @@
     return peer.was_heard && at - peer.heard < peer_silent_ms;
 }
 
+auto is_large_fleet(const peer_group& group) -> bool {
+    return group.peers.size() >= small_fleet;
+}
+
 auto note_heartbeat(peer_group& group, directory& known, std::uint32_t from, heartbeat&& beat, time_ms at)
     -> bool {
     if (from == group.own_address) {
@@ -98,11 +129,11 @@
     }
     for (const auto address : beat.peers) {
         if (address != group.own_address && address != 0) {
-            group.peers.try_emplace(address).first->second.heard = at;
+            group.peers[address].named = at;
         }
     }
     auto& peer = group.peers[from];
-    const auto is_new = !is_alive(peer, at);
+    const auto is_new = !is_member(group, peer, at);
     take_back(peer, known);
     peer.last = std::move(beat);
     peer.heard = at;
@@ -114,34 +145,66 @@
 auto expire_peers(peer_group& group, directory& known, time_ms at) -> std::vector<std::uint32_t> {
     auto silent = std::vector<std::uint32_t>{};
     for (auto& [address, peer] : group.peers) {
-        if (peer.was_heard && at - peer.heard >= peer_silent_ms) {
+        if (!is_alive(peer, at)) {
             take_back(peer, known);
+        }
+        if (peer.was_heard && !is_member(group, peer, at)) {
             peer.was_heard = false;
             silent.push_back(address);
         }
     }
     absl::erase_if(group.peers,
-                   [&](const auto& entry) { return at - entry.second.heard > peer_forgotten_ms; });
+                   [&](const auto& entry) { return at - last_sign(entry.second) > peer_forgotten_ms; });
     return silent;
 }
 
 auto heartbeat_receivers(const peer_group& group, time_ms at, std::minstd_rand& random)
     -> std::vector<std::uint32_t> {
     auto receivers = std::vector<std::uint32_t>{};
+    if (!is_large_fleet(group)) {
+        for (const auto& [address, peer] : group.peers) {
+            receivers.push_back(address);
+        }
+        return receivers;
+    }
+    auto zone = std::vector<std::uint32_t>{};
     auto others = std::vector<std::uint32_t>{};
     for (const auto& [address, peer] : group.peers) {
-        const auto is_near =
-            group.peers.size() < small_fleet || (is_alive(peer, at) && peer.last.zone == group.zone);
-        (is_near ? receivers : others).push_back(address);
+        if (is_member(group, peer, at)) {
+            (peer.last.zone == group.zone ? zone : others).push_back(address);
+        } else if (at - peer.named < member_ms) {
+            others.push_back(address);  // named, but not heard yet: its zone is unknown
+        }
     }
-    for (auto i = std::size_t{0}; i < peers_of_other_zones && !others.empty(); ++i) {
-        const auto pick = random() % others.size();
-        receivers.push_back(others[pick]);
-        others.erase(others.begin() + static_cast<std::ptrdiff_t>(pick));
+    std::sort(zone.begin(), zone.end());
+    const auto next = std::upper_bound(zone.begin(), zone.end(), group.own_address) - zone.begin();
+    for (auto i = std::size_t{0}; i < std::min(next_receivers, zone.size()); ++i) {
+        receivers.push_back(zone[(static_cast<std::size_t>(next) + i) % zone.size()]);
     }
+    zone.erase(std::remove_if(zone.begin(), zone.end(),
+                              [&](std::uint32_t address) {
+                                  return std::find(receivers.begin(), receivers.end(), address) !=
+                                         receivers.end();
+                              }),
+               zone.end());
+    draw(zone, drawn_zone_receivers, receivers, random);
+    draw(others, peers_of_other_zones, receivers, random);
     return receivers;
 }
 
+auto named_peers(const peer_group& group, time_ms at, std::minstd_rand& random)
+    -> std::vector<std::uint32_t> {
+    auto alive = std::vector<std::uint32_t>{};
+    for (const auto& [address, peer] : group.peers) {
+        if (is_alive(peer, at)) {
+            alive.push_back(address);
+        }
+    }
+    auto named = std::vector<std::uint32_t>{};
+    draw(alive, peers_named, named, random);
+    return named;
+}
+
 auto zone_peers(const peer_group& group, time_ms at) -> std::vector<std::uint32_t> {
     auto near = std::vector<std::uint32_t>{};
     for (const auto& [address, peer] : group.peers) {
@@ -152,18 +215,50 @@
     return near;
 }
 
-auto load_interval_ms(std::size_t zone_hosts) -> std::int64_t {
-    return std::min(heartbeat_ms, load_told_ms * static_cast<std::int64_t>(zone_hosts));
+auto zone_members(const peer_group& group, time_ms at) -> std::vector<std::uint32_t> {
+    auto members = std::vector<std::uint32_t>{};
+    for (const auto& [address, peer] : group.peers) {
+        if (is_member(group, peer, at) && peer.last.zone == group.zone && !peer.last.is_leaving) {
+            members.push_back(address);
+        }
+    }
+    std::sort(members.begin(), members.end());
+    return members;
+}
+
+auto load_interval_ms(std::size_t zone_hosts, std::size_t message_bytes) -> std::int64_t {
+    constexpr std::int64_t ms_per_s = 1000;
+    const auto hosts = static_cast<std::int64_t>(zone_hosts);
+    const auto bytes = static_cast<std::int64_t>(message_bytes) + udp_header_bytes;
+    return std::clamp((hosts * bytes * ms_per_s + control_bytes_per_s - 1) / control_bytes_per_s,
+                      load_told_ms * hosts, heartbeat_ms);
 }
 
 auto should_watch(const peer_group& group, time_ms at) -> bool {
+    auto lower_members = std::int64_t{0};
+    for (const auto& [address, peer] : group.peers) {
+        lower_members += is_lower_of_zone(group, address, peer) && is_member(group, peer, at) ? 1 : 0;
+    }
+    const auto patience_ms =
+        std::min(takeover_limit_ms, std::max<std::int64_t>(0, lower_members - 1) * takeover_step_ms);
     return std::none_of(group.peers.begin(), group.peers.end(), [&](const auto& entry) {
         const auto& [address, peer] = entry;
-        return address < group.own_address && is_alive(peer, at) && peer.last.zone == group.zone &&
-               !peer.last.is_leaving && peer.last.revision != 0 && peer.last.store_age_ms < store_reached_ms;
+        return is_lower_of_zone(group, address, peer) && is_alive(peer, at) && !peer.last.is_leaving &&
+               peer.last.revision != 0 &&
+               peer.last.store_age_ms + (at - peer.heard) < store_reached_ms + patience_ms;
     });
 }
 
+auto zone_store_age_ms(const peer_group& group, std::int64_t own_age_ms, time_ms at) -> std::int64_t {
+    auto age = own_age_ms;
+    for (const auto& [address, peer] : group.peers) {
+        if (is_lower_of_zone(group, address, peer) && is_alive(peer, at) && !peer.last.is_leaving) {
+            age = std::min(age, peer.last.store_age_ms + (at - peer.heard));
+        }
+    }
+    return age;
+}
+
 auto newest_peer(const peer_group& group, std::uint64_t revision, time_ms at)
     -> std::optional<std::uint32_t> {
     auto best = std::optional<std::uint32_t>{};
--- a/src/edge/peer_group_base.h
+++ b/src/edge/peer_group_base.h
@@ -17,19 +17,41 @@
 constexpr std::int64_t heartbeat_ms = 200;
 
 // Least interval of heartbeats to a host of the own zone while loads change. Counts as old as a request
-// mislead: hosts run to the same target. At 20 ms and some 120 bytes, telling one host stays within 7 KB/s;
-// with more hosts of the zone, the interval grows with their number.
+// mislead: hosts run to the same target. The interval grows with the number of hosts and with the message, so
+// that a host stays within its budget for control.
 constexpr std::int64_t load_told_ms = 20;
+constexpr std::int64_t control_bytes_per_s = 7000;
+constexpr std::int64_t udp_header_bytes = 28;  // IPv4 and UDP
+
+// Loads are told up to this number of other hosts in the zone. With more, the budget allows only counts that
+// are older than a request, which are worse than none.
+constexpr std::size_t told_zone_peers = 2;
+
+// From this number of other hosts in the zone on, targets are dealt among its hosts. Two hosts that tell each
+// other every 20 ms gain nothing by it.
+constexpr std::size_t dealt_zone_peers = 2;
 
 // A host that was not heard for this long is left out of all decisions, and after the second time forgotten.
 constexpr std::int64_t peer_silent_ms = 1000;
 constexpr std::int64_t peer_forgotten_ms = 60000;
 
-// Up to this number of hosts each tells all others; in larger fleets each tells those of its zone and a few
-// others.
+// Up to this number of hosts each tells all others. In larger fleets the number of receivers is fixed: the
+// hosts of the zone with the next addresses, so that the first of them notices the death of the watching
+// host, and hosts drawn at random, which spread what is new in a logarithmic number of steps.
 constexpr std::size_t small_fleet = 12;
+constexpr std::size_t next_receivers = 2;
+constexpr std::size_t drawn_zone_receivers = 3;
 constexpr std::size_t peers_of_other_zones = 2;
 
+// In a large fleet a host is a member of it while it was heard or named within this time: at 1,060 hosts of a
+// zone, a living one is named every 2.6 s in the mean.
+constexpr std::int64_t member_ms = 10000;
+
+// Hosts take over the watch one after the other: each waits this much longer for each lower address, up to
+// the limit.
+constexpr std::int64_t takeover_step_ms = 100;
+constexpr std::int64_t takeover_limit_ms = 2000;
+
 // Addresses of other hosts named in one heartbeat.
 constexpr std::size_t peers_named = 16;
 
@@ -52,7 +74,7 @@
 struct heartbeat {
     std::string zone;
     std::uint64_t revision = 0;     // it knows all changes of the store up to here; 0: no whole listing yet
-    std::int64_t store_age_ms = 0;  // since the store answered it
+    std::int64_t store_age_ms = 0;  // since the store answered it, or a host of its zone with a lower address
     std::int64_t view_age_ms = 0;   // since what it knows was current
     bool is_leaving = false;        // it was asked to stop
     std::vector<std::uint32_t> peers;  // addresses of other hosts
@@ -77,6 +99,7 @@
 struct peer_record {
     heartbeat last;
     time_ms heard;
+    time_ms named;  // by a host that had heard it shortly before
     bool was_heard = false;
     std::vector<counted_load> counted;
 };
@@ -105,16 +128,29 @@
 auto heartbeat_receivers(const peer_group& group, time_ms at, std::minstd_rand& random)
     -> std::vector<std::uint32_t>;
 
+// Returns living hosts for a heartbeat to name, drawn at random if there are many.
+auto named_peers(const peer_group& group, time_ms at, std::minstd_rand& random) -> std::vector<std::uint32_t>;
+
 // Returns the living hosts of the own zone.
 auto zone_peers(const peer_group& group, time_ms at) -> std::vector<std::uint32_t>;
 
-// Returns the interval in which changed loads are told to that many hosts of the zone.
-auto load_interval_ms(std::size_t zone_hosts) -> std::int64_t;
+// Returns the hosts of the own zone that take new flows, as far as this host knows.
+auto zone_members(const peer_group& group, time_ms at) -> std::vector<std::uint32_t>;
+
+// Returns whether the fleet is too large for each host to tell all others.
+auto is_large_fleet(const peer_group& group) -> bool;
+
+// Returns the interval in which a message with changed loads is told to that many hosts of the zone.
+auto load_interval_ms(std::size_t zone_hosts, std::size_t message_bytes) -> std::int64_t;
 
 // Returns whether this host should watch the store: no living host of its zone with a lower address reaches
-// it.
+// it, or hears of one that does.
 auto should_watch(const peer_group& group, time_ms at) -> bool;
 
+// Milliseconds since a host of the zone with this or a lower address had an answer of the store, given the
+// own one. Goes from lower to higher addresses only, so that no host hears its own word back.
+auto zone_store_age_ms(const peer_group& group, std::int64_t own_age_ms, time_ms at) -> std::int64_t;
+
 // Returns the living host that knows the newest revision above `revision`, hosts of the own zone first.
 auto newest_peer(const peer_group& group, std::uint64_t revision, time_ms at) -> std::optional<std::uint32_t>;
 
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -25,6 +25,14 @@
            (load.silent_opens != 0 && load.pending_opens != 0);
 }
 
+// The finalizer of SplitMix64: equal on all hosts, unlike the seeded hashes of containers.
+auto pair_weight(std::uint32_t host, std::uint32_t carrier) -> std::uint64_t {
+    auto mixed = (static_cast<std::uint64_t>(host) << 32U) | carrier;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+    return mixed ^ (mixed >> 31U);
+}
+
 // A choice among targets that come one by one.
 struct best_target {
     std::optional<target_index> index;
@@ -47,6 +55,18 @@
 
 }  // namespace
 
+auto deal_targets(directory& known, const std::string& zone, std::uint32_t own_address,
+                  const std::vector<std::uint32_t>& other_hosts) -> void {
+    for (auto& target : known.targets) {
+        const auto carrier = target.entry.carrier;
+        const auto own = pair_weight(own_address, carrier);
+        target.is_dealt_elsewhere =
+            target.entry.zone == zone && absl::c_any_of(other_hosts, [&](std::uint32_t other) {
+                return pair_weight(other, carrier) > own;
+            });
+    }
+}
+
 auto expected_load(const target_record& target, const flow_request& request, time_ms at) -> double {
     const auto& load = target.load;
     const auto busy = static_cast<double>(load.busy_flows + load.pending_opens + load.told_busy);
@@ -58,7 +78,10 @@
     if (at < target.cold_until) {
         per_slot = (per_slot + idle_flow_load) * cold_slowdown;
     }
-    return target.entry.zone == request.zone ? per_slot : per_slot + other_zone_load;
+    if (target.entry.zone != request.zone) {
+        return per_slot + other_zone_load;
+    }
+    return target.is_dealt_elsewhere ? per_slot + other_share_load : per_slot;
 }
 
 auto choose_target(const directory& known, const std::string& service, const flow_request& request,
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -30,6 +30,10 @@
 // between zones and a price per byte.
 constexpr double other_zone_load = 1.2;
 
+// Load per slot by which a target that is dealt to another host of the zone must be less loaded: its load is
+// not known here, and one request in progress of two slots is what the own targets may have before.
+constexpr double other_share_load = 0.5;
+
 // A target that has just started takes this many times as long for a request.
 constexpr double cold_slowdown = 1.6;
 
@@ -39,6 +43,12 @@
     std::string_view zone;  // of this host
 };
 
+// Deals the targets of a zone among its hosts: each target goes to one host by the highest weight of their
+// pair (rendezvous hashing), so that a host that comes or goes moves only its own share. Without hosts, no
+// target is dealt.
+auto deal_targets(directory& known, const std::string& zone, std::uint32_t own_address,
+                  const std::vector<std::uint32_t>& other_hosts) -> void;
+
 // Returns the expected load per slot that a new flow meets at a target.
 auto expected_load(const target_record& target, const flow_request& request, time_ms at) -> double;
 
