Fix: [edge] A target is dead only if openings stay unanswered too; flows that wait there are reset at once

Three flows that stalled during a cut at 12 s still counted at 22 s, and under overload requests take longer than the first retransmission, so that the first data of a flow that had just opened was answered by a reset. Ruled out: the pause of 250 ms before the verdict, which an idle target had long passed.

Change: signs of a stall are forgotten after a second. Three flows that stall make a target doubted: the next openings go to it. One that is answered ends the doubt; two without an answer make it dead, and flows that wait there and may be repeated are reset at once instead of at their next retransmission. A target that answers three openings in a row and no request is hung and treated the same. The rule of 250 ms goes.

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -103,6 +103,8 @@
         record.load.stalled_flows = 0;
         record.load.suspect_until = {};
         record.load.dead_until = {};
+        record.load.doubted_since = {};
+        record.load.answered_doubts = 0;
         return directory_change::target_added;
     }
     return directory_change::target_changed;
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -18,6 +18,10 @@
 // as the platform promises; the rest is for the delay until this host learns of it.
 constexpr std::int64_t lapse_grace_ms = 2500;
 
+// Openings sent to a doubted target that stay unanswered, after which it is taken for dead. One alone may be
+// lost, or its answer may go on through another host.
+constexpr std::uint32_t dead_after_opens = 2;
+
 // Index of a target in the directory.
 using target_index = std::uint32_t;
 
@@ -39,7 +43,10 @@
     std::uint32_t stalled_flows = 0;   // flows that retransmitted since the last progress
     std::uint32_t progress_epoch = 0;  // number of times that a flow's acknowledgement grew
     time_ms last_progress;             // when that was last seen
-    time_ms waiting_since;             // when the first data after that went to the target
+    time_ms last_stall;                // when a flow was last counted as stalled
+    time_ms doubted_since;  // enough flows stall: an opening is to show whether it lives; zero: not doubted
+    std::uint32_t silent_since_doubt = 0;  // openings without an answer, sent after that
+    std::uint32_t answered_doubts = 0;     // doubts in a row that an answered opening ended, without progress
     time_ms suspect_until;  // gets no new flows before this time while another target can take them
     time_ms dead_until;     // its flows are reset before this time
 
@@ -48,8 +55,10 @@
                a.pending_opens == b.pending_opens && a.told_open == b.told_open &&
                a.told_busy == b.told_busy && a.silent_opens == b.silent_opens &&
                a.stalled_flows == b.stalled_flows && a.progress_epoch == b.progress_epoch &&
-               a.last_progress == b.last_progress && a.waiting_since == b.waiting_since &&
-               a.suspect_until == b.suspect_until && a.dead_until == b.dead_until;
+               a.last_progress == b.last_progress && a.last_stall == b.last_stall &&
+               a.doubted_since == b.doubted_since && a.silent_since_doubt == b.silent_since_doubt &&
+               a.answered_doubts == b.answered_doubts && a.suspect_until == b.suspect_until &&
+               a.dead_until == b.dead_until;
     }
 };
 
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -121,6 +121,7 @@
     auto forward(packet_buffer& buffer, const client_packet& packet, const packet_verdict& verdict) -> void;
     auto send_reset(const client_packet& packet) -> void;
     auto send_retries(time_ms at) -> void;
+    auto reset_dead_flows(time_ms at) -> void;
     auto handle_heartbeats() -> void;
     auto send_heartbeats(time_ms at) -> void;
     auto add_seeds(std::vector<std::uint32_t>& receivers, time_ms at) -> void;
@@ -224,7 +225,7 @@
     const auto at = boot_now();
     if (at - last_turn_ > stood_still_ms) {
         write_log(log_event::edge_resumed, {{"ms", std::to_string(at - last_turn_)}});
-        note_pause(state_, at);
+        note_pause(state_);
         packets_waited_ = reads_packets_;
     }
     last_turn_ = at;
@@ -297,6 +298,7 @@
     }
     handle_packets();
     const auto retries = take_open_retries(state_, at);
+    reset_dead_flows(at);
     if (retries.empty()) {
         return;
     }
@@ -314,6 +316,30 @@
     packets_.send_all();
 }
 
+// Resets the flows that wait at targets found dead, so that their clients need not wait for a retransmission.
+auto edge_host::reset_dead_flows(time_ms at) -> void {
+    for (const auto index : state_.found_dead) {
+        log_dead(state_.known.targets[index]);
+    }
+    state_.found_dead.clear();
+    const auto verdict = packet_verdict{packet_action::reset, packet_reason::target_dead, 0, false, true};
+    for (const auto& dead : state_.dead_flows) {
+        auto packet = client_packet{};
+        packet.flow = dead.flow;
+        packet.acknowledgement = dead.acknowledgement;
+        count_verdict(verdict);
+        log_verdict(state_, packet, verdict, view_age_ms(at));
+        send_reset(packet);
+        if (resets_.size() == packet_batch) {
+            packets_.send_all();
+            resets_.clear();
+        }
+    }
+    packets_.send_all();
+    resets_.clear();
+    state_.dead_flows.clear();
+}
+
 auto edge_host::handle_heartbeats() -> void {
     const auto at = boot_now();
     auto from = sockaddr_in{};
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -106,10 +106,6 @@
                                       {"version", version},
                                       {"revision", std::to_string(state.known.revision)},
                                       {"view_age_ms", std::to_string(view_age_ms)}});
-        if (verdict.reason == packet_reason::target_dead) {
-            write_log(log_event::target_suspected, {{"carrier", absl::StrCat(absl::Hex(packet.carrier))},
-                                                    {"unanswered", "data of several flows"}});
-        }
         return;
     }
     const auto& target = state.known.targets[verdict.target];
@@ -122,6 +118,15 @@
                                   {"view_age_ms", std::to_string(view_age_ms)}});
 }
 
+auto log_dead(const target_record& target) -> void {
+    write_log(log_event::target_suspected,
+              {{"target", target.entry.name},
+               {"unanswered", target.load.answered_doubts >= hung_after_doubts
+                                  ? "data of several flows, though openings are answered"
+                                  : "data of several flows, and openings"},
+               {"pause_ms", std::to_string(dead_ms)}});
+}
+
 auto log_retry(const forwarding_state& state, const open_retry& retry, time_ms at) -> void {
     const auto& target = state.known.targets[retry.target];
     const auto found = state.flows.find(retry.flow);
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -122,6 +122,52 @@
     return {packet_action::forward, packet_reason::open_retried, flow.target, true, true};
 }
 
+// Forgets which flows of a target stall.
+auto forget_stalls(target_load& load) -> void {
+    ++load.progress_epoch;
+    load.stalled_flows = 0;
+    load.doubted_since = {};
+}
+
+// Notes progress: the client has got more bytes of the target.
+auto note_progress(target_load& load, time_ms at) -> void {
+    forget_stalls(load);
+    load.last_progress = at;
+    load.dead_until = {};
+    load.silent_opens = 0;
+    load.answered_doubts = 0;
+}
+
+// Notes that a target answered an opening that this host sent to it.
+auto note_answered_opening(target_load& load) -> void {
+    if (load.doubted_since != time_ms{}) {
+        ++load.answered_doubts;
+        forget_stalls(load);
+    }
+    load.dead_until = {};
+}
+
+// Notes a retransmission. Enough flows that stall make the target doubted, or dead if openings were answered
+// and nothing else.
+auto note_retransmission(target_load& load, flow_record& flow, time_ms at) -> void {
+    if (load.stalled_flows != 0 && at - load.last_stall > stall_memory_ms) {
+        forget_stalls(load);
+    }
+    if (flow.stalled_epoch == load.progress_epoch) {
+        return;
+    }
+    flow.stalled_epoch = load.progress_epoch;
+    load.last_stall = at;
+    if (++load.stalled_flows < doubted_after_flows || load.doubted_since != time_ms{}) {
+        return;
+    }
+    load.doubted_since = at;
+    load.silent_since_doubt = 0;
+    if (load.answered_doubts >= hung_after_doubts) {
+        load.dead_until = at + dead_ms;
+    }
+}
+
 // Notes that a flow is open at the target that its packets name.
 auto note_open(forwarding_state& state, flow_record& flow, target_index index) -> void {
     if (flow.is_open && flow.target == index) {
@@ -136,6 +182,9 @@
     } else {
         for (const auto tried : flow.tried) {
             lower(load_of(state, tried).pending_opens);
+            if (tried == index) {
+                note_answered_opening(load_of(state, tried));
+            }
         }
         flow.tried.clear();
     }
@@ -148,37 +197,17 @@
     flow.stalled_epoch = load.progress_epoch - 1;
 }
 
-// Notes progress: the client has got more bytes of the target.
-auto note_progress(target_load& load, time_ms at) -> void {
-    ++load.progress_epoch;
-    load.stalled_flows = 0;
-    load.last_progress = at;
-    load.dead_until = {};
-    load.silent_opens = 0;
-}
-
-// Notes a retransmission. Returns whether it makes the target look dead.
-auto note_retransmission(target_load& load, flow_record& flow, time_ms at) -> bool {
-    if (flow.stalled_epoch != load.progress_epoch) {
-        flow.stalled_epoch = load.progress_epoch;
-        ++load.stalled_flows;
-    }
-    if (load.stalled_flows < dead_after_flows || at - load.waiting_since < dead_after_ms) {
-        return at < load.dead_until;
-    }
-    load.dead_until = at + dead_ms;
-    return true;
-}
-
-// Notes data of the client. Returns whether the target looks dead.
+// Notes data of the client. Returns whether the target is believed dead.
 auto note_data(forwarding_state& state, flow_record& flow, const client_packet& packet, time_ms at) -> bool {
     auto& load = load_of(state, flow.target);
-    if (load.waiting_since <= load.last_progress) {
-        load.waiting_since = at;
-    }
     const auto end = packet.sequence + packet.payload_bytes;
     if (!is_after(end, flow.highest_sequence)) {
-        return note_retransmission(load, flow, at);
+        const auto was_dead = at < load.dead_until;
+        note_retransmission(load, flow, at);
+        if (!was_dead && at < load.dead_until) {
+            state.found_dead.push_back(flow.target);
+        }
+        return at < load.dead_until;
     }
     flow.highest_sequence = end;
     if (!flow.is_busy) {
@@ -197,6 +226,39 @@
     return pause;
 }
 
+// Collects the flows that wait for a response of a dead target and can be repeated.
+auto collect_dead_flows(forwarding_state& state, target_index index, time_ms at) -> void {
+    absl::erase_if(state.flows, [&](auto& entry) {
+        auto& [key, flow] = entry;
+        const auto* route = find_route(state.known, key);
+        if (!flow.is_open || !flow.is_busy || flow.target != index || route == nullptr ||
+            route->entry.kind == request_kind::non_idempotent) {
+            return false;
+        }
+        state.dead_flows.push_back({key, flow.acknowledgement});
+        release_flow(state, flow, at);
+        return true;
+    });
+}
+
+// Notes that an opening sent to a target at `sent` has stayed without an answer. A doubted target is dead
+// then.
+auto note_silent_opening(forwarding_state& state, target_index index, time_ms sent, time_ms at) -> void {
+    auto& load = load_of(state, index);
+    if (++load.silent_opens >= suspect_after_opens) {
+        load.suspect_until = at + suspicion_ms(load.silent_opens);
+    }
+    if (load.doubted_since == time_ms{} || sent < load.doubted_since) {
+        return;
+    }
+    if (++load.silent_since_doubt >= dead_after_opens) {
+        load.doubted_since = {};
+        load.dead_until = at + dead_ms;
+        state.found_dead.push_back(index);
+        collect_dead_flows(state, index, at);
+    }
+}
+
 auto handle_unknown_carrier(forwarding_state& state, const client_packet& packet, packet_context context,
                             time_ms at) -> packet_verdict {
     if (packet.payload_bytes == 0) {
@@ -308,12 +370,10 @@
     return handle_established(state, packet, context, at);
 }
 
-auto note_pause(forwarding_state& state, time_ms at) -> void {
+auto note_pause(forwarding_state& state) -> void {
     state.pending.clear();
     for (auto& target : state.known.targets) {
-        target.load.stalled_flows = 0;
-        ++target.load.progress_epoch;
-        target.load.waiting_since = at;
+        forget_stalls(target.load);
     }
 }
 
@@ -327,10 +387,7 @@
             continue;
         }
         auto& flow = found->second;
-        auto& load = load_of(state, flow.target);
-        if (++load.silent_opens >= suspect_after_opens) {
-            load.suspect_until = at + suspicion_ms(load.silent_opens);
-        }
+        note_silent_opening(state, flow.target, deadline + -open_timeout_ms, at);
         const auto* route = find_route(state.known, key);
         if (route == nullptr || flow.tried.size() >= open_target_limit) {
             continue;
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -31,12 +31,21 @@
 constexpr std::int64_t suspect_ms = 800;
 constexpr std::int64_t suspect_limit_ms = 3200;
 
-// Flows that retransmit while no flow of the target makes progress, and the time without progress, after
-// which the target is taken for dead; and for how long.
-constexpr std::uint32_t dead_after_flows = 3;
-constexpr std::int64_t dead_after_ms = 250;
+// Flows that retransmit while no flow of the target makes progress, after which the target is doubted: the
+// next openings go to it, and if these stay unanswered, the target is taken for dead, for some time. Requests
+// of a live target under overload take as long as those of a dead one, but it answers openings.
+constexpr std::uint32_t doubted_after_flows = 3;
 constexpr std::int64_t dead_ms = 1000;
 
+// Signs of a stall that are older say nothing of now. A client retransmits with pauses of up to 1.6 s; the
+// first three pauses are shorter than this.
+constexpr std::int64_t stall_memory_ms = 1000;
+
+// Doubts in a row that openings ended, without progress of any flow, after which the target is taken for
+// hung: it answers openings and nothing else. Each takes several retransmissions, so they last for about a
+// second.
+constexpr std::uint32_t hung_after_doubts = 3;
+
 // A request without a sign of its response for this long no longer counts as in progress.
 constexpr std::int64_t busy_limit_ms = 1000;
 
@@ -108,12 +117,20 @@
     opening_packet packet{};
 };
 
+// A flow to reset, since its target was found dead. Idempotent requests only: the client comes again at once.
+struct dead_flow {
+    flow_key flow;
+    std::uint32_t acknowledgement = 0;
+};
+
 // All that forwarding knows.
 struct forwarding_state {
     directory known;
     std::string zone;  // of this host
     absl::flat_hash_map<flow_key, flow_record> flows;
-    std::deque<pending_open> pending;  // by deadline
+    std::deque<pending_open> pending;      // by deadline
+    std::vector<dead_flow> dead_flows;     // to be reset by the caller of take_open_retries
+    std::vector<target_index> found_dead;  // for the log; emptied by the caller
     std::minstd_rand random{1};
 };
 
@@ -129,10 +146,11 @@
 
 // Notes that this host stood still. Silence during that time says nothing of targets: answers and
 // retransmissions went through other hosts or wait in the socket.
-auto note_pause(forwarding_state& state, time_ms at) -> void;
+auto note_pause(forwarding_state& state) -> void;
 
 // Returns the opening packets that got no answer in time, with the next target for each. All packets that
-// have arrived are to be handled before, or answers that wait in the socket look like silence.
+// have arrived are to be handled before, or answers that wait in the socket look like silence. Flows of a
+// target that is found dead by it are added to `dead_flows`.
 auto take_open_retries(forwarding_state& state, time_ms at) -> std::vector<open_retry>;
 
 // Forgets flows without packets for `idle_ms`, and requests without a response for too long.
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -21,7 +21,7 @@
 
 // Whether a target is believed not to answer. One whose time as a suspect has passed is tried with one flow.
 auto is_suspect(const target_load& load, time_ms at) -> bool {
-    return at < load.suspect_until || at < load.dead_until ||
+    return at < load.suspect_until || at < load.dead_until || load.doubted_since != time_ms{} ||
            (load.silent_opens != 0 && load.pending_opens != 0);
 }
 
@@ -33,6 +33,11 @@
     return mixed ^ (mixed >> 31U);
 }
 
+// Whether the next openings are to show if a target lives.
+auto wants_probe(const target_load& load) -> bool {
+    return load.doubted_since != time_ms{} && load.pending_opens < dead_after_opens;
+}
+
 // A choice among targets that come one by one.
 struct best_target {
     std::optional<target_index> index;
@@ -98,6 +103,9 @@
             continue;
         }
         const auto& target = known.targets[index];
+        if (wants_probe(target.load)) {
+            return index;
+        }
         auto& best = is_suspect(target.load, at) ? suspected : trusted;
         best.offer(index, expected_load(target, request, at), random);
     }
