Feature: [edge] Requests that no target would answer in time are refused at once, urgent routes last

Ruled out: placement (the busiest target had 1.08 times the mean).

Change: a host knows how long requests of a route take at targets with a free slot, and the requests in progress per slot. An opening whose expected time is beyond 0.8 of the route's target latency at every target is reset at once: it has not run, and the client comes again. The routes that no other route in use goes before are admitted up to twice the target latency, so that filing goes before viewing. Reason and counter `overloaded`; its log line has the load and the time that decided.

Tests: overload_leaves_admitted_requests_in_time with overload_without_refusals_makes_all_late as the case that misses the bound, burst_within_the_slots_is_not_refused, and four on order and copies in edge_forwarding_test. configuration_is_read now reads the target latency as well.

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -125,6 +125,29 @@
     return directory_change::target_gone;
 }
 
+}  // namespace
+
+auto find_urgent_routes(directory& known) -> void {
+    auto highest = absl::flat_hash_map<std::string, std::uint32_t>{};
+    for (const auto& [key, route] : known.routes) {
+        if (route.requests < route_in_use_requests) {
+            continue;
+        }
+        for (const auto& backend : route.entry.backends) {
+            auto& priority = highest.try_emplace(backend.service, route.entry.priority).first->second;
+            priority = std::min(priority, route.entry.priority);
+        }
+    }
+    for (auto& [key, route] : known.routes) {
+        route.is_urgent = absl::c_all_of(route.entry.backends, [&](const route_backend& backend) {
+            const auto found = highest.find(backend.service);
+            return found == highest.end() || route.entry.priority <= found->second;
+        });
+    }
+}
+
+namespace {
+
 auto apply_routes(directory& known, route_table&& table) -> directory_change {
     // Revisions order the writes, so a lower version can only come from a faulty writer.
     if (table.version < known.configuration_version) {
@@ -149,6 +172,7 @@
         record.entry = std::move(entry);
         known.routes[key] = std::move(record);
     }
+    find_urgent_routes(known);
     return directory_change::routes_changed;
 }
 
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -22,6 +22,9 @@
 // lost, or its answer may go on through another host.
 constexpr std::uint32_t dead_after_opens = 2;
 
+// Requests from which a route counts as in use; probes of operators are fewer.
+constexpr std::uint32_t route_in_use_requests = 20;
+
 // Index of a target in the directory.
 using target_index = std::uint32_t;
 
@@ -80,6 +83,9 @@
     route_entry entry;
     std::vector<std::string> services;  // all services that it had since this host started
     double requests_per_flow = 0;       // moving average of closed flows; 0 until one has closed
+    double request_ms = 0;  // moving average at targets with a free slot, round trip included; 0: unknown
+    std::uint32_t requests = 0;  // in that average
+    bool is_urgent = true;       // no route of its services that is in use has a higher priority
 };
 
 // An item as other hosts get it.
@@ -141,6 +147,10 @@
 // of targets that are gone now.
 auto expire_targets(directory& known, std::int64_t keep_ms, time_ms at) -> std::vector<std::string>;
 
+// Finds the routes that no other route of their services goes before. Routes with
+// fewer than `route_in_use_requests` requests do not count.
+auto find_urgent_routes(directory& known) -> void;
+
 // Returns the target that a carrier names, or nullptr.
 auto find_carrier(directory& known, std::uint32_t carrier) -> target_record*;
 
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -26,6 +26,8 @@
             return counter::edge_stale_route;
         case packet_reason::no_target:
             return counter::edge_no_target;
+        case packet_reason::overloaded:
+            return counter::edge_overloaded;
         case packet_reason::unknown_carrier:
             return counter::edge_unknown_carrier;
         case packet_reason::unknown_carrier_reset:
@@ -99,6 +101,20 @@
 auto log_verdict(const forwarding_state& state, const client_packet& packet, const packet_verdict& verdict,
                  std::int64_t view_age_ms) -> void {
     const auto version = std::to_string(state.known.configuration_version);
+    if (verdict.reason == packet_reason::overloaded) {
+        const auto& target = state.known.targets[verdict.target];
+        const auto route =
+            state.known.routes.find(route_key(packet.flow.service_address, packet.flow.service_port));
+        const auto request_ms = route == state.known.routes.end() ? 0.0 : route->second.request_ms;
+        write_log(event_of(verdict), {{"flow", flow_text(packet.flow)},
+                                      {"reason", std::string(to_text(verdict.reason))},
+                                      {"least_busy", target.entry.name},
+                                      {"load", load_text(target.load)},
+                                      {"slots", std::to_string(target.entry.slots)},
+                                      {"request_ms", absl::StrCat(request_ms)},
+                                      {"version", version}});
+        return;
+    }
     if (verdict.action != packet_action::forward) {
         write_log(event_of(verdict), {{"flow", flow_text(packet.flow)},
                                       {"reason", std::string(to_text(verdict.reason))},
--- a/src/edge/edge_type.h
+++ b/src/edge/edge_type.h
@@ -97,11 +97,13 @@
     std::vector<route_backend> backends;
     request_kind kind = request_kind::idempotent;
     std::int64_t timeout_ms = 0;
-    std::uint32_t priority = 0;  // 0 is highest
+    std::int64_t target_latency_ms = 0;  // a response within it is in time; 0: not stated
+    std::uint32_t priority = 0;          // 0 is highest
 
     friend auto operator==(const route_entry& a, const route_entry& b) -> bool {
         return a.address == b.address && a.port == b.port && a.backends == b.backends && a.kind == b.kind &&
-               a.timeout_ms == b.timeout_ms && a.priority == b.priority;
+               a.timeout_ms == b.timeout_ms && a.target_latency_ms == b.target_latency_ms &&
+               a.priority == b.priority;
     }
 };
 
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -1,5 +1,8 @@
 #include <absl/algorithm/container.h>
 
+#include <algorithm>
+#include <tl/expected.hpp>
+
 #include "edge/forwarding_base.h"
 
 namespace agatepost::edge {
@@ -71,21 +74,30 @@
                                         : route.requests_per_flow >= long_flow_requests;
 }
 
-// Sends an opening packet to one more target. Returns nothing if no target is left.
+// Sends an opening packet to one more target. Returns the reason if there is none.
 auto place(forwarding_state& state, const route_record& route, flow_record& flow, time_ms at)
-    -> std::optional<target_index> {
+    -> tl::expected<target_index, packet_reason> {
     const auto* service = choose_service(state.known, route.entry, state.random);
     if (service == nullptr) {
-        return std::nullopt;
+        return tl::unexpected(packet_reason::no_target);
     }
     const auto request = flow_request{has_long_flows(route), state.zone};
-    const auto target = choose_target(state.known, *service, request, flow.tried, at, state.random);
-    if (target) {
-        flow.tried.push_back(*target);
-        flow.target = *target;
-        ++load_of(state, *target).pending_opens;
+    auto target = choose_target(state.known, *service, request, flow.tried, at, state.random);
+    if (!target) {
+        return tl::unexpected(packet_reason::no_target);
+    }
+    if (flow.tried.empty() && !is_in_time(route, state.known.targets[*target])) {
+        // The choice weighs more than requests in progress. One with fewer of them may be in time.
+        target = least_busy_target(state.known, *service, at).value_or(*target);
+        if (!is_in_time(route, state.known.targets[*target])) {
+            flow.target = *target;
+            return tl::unexpected(packet_reason::overloaded);
+        }
     }
-    return target;
+    flow.tried.push_back(*target);
+    flow.target = *target;
+    ++load_of(state, *target).pending_opens;
+    return *target;
 }
 
 auto handle_open(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
@@ -108,16 +120,21 @@
     const auto is_first = flow.tried.empty();
     flow.last_packet = at;
     flow.highest_sequence = packet.sequence + 1;
+    auto refusal = packet_reason::no_target;
     if (flow.tried.size() < open_target_limit) {
         if (const auto target = place(state, *route, flow, at)) {
             state.pending.push_back({packet.flow, at + open_timeout_ms, {}});
             return {packet_action::forward, is_first ? packet_reason::opened : packet_reason::open_retried,
                     *target, true, true};
+        } else {
+            refusal = target.error();
         }
     }
     if (is_first) {
+        auto verdict = refuse(refusal);
+        verdict.target = flow.target;
         state.flows.erase(packet.flow);
-        return refuse(packet_reason::no_target);
+        return verdict;
     }
     return {packet_action::forward, packet_reason::open_retried, flow.target, true, true};
 }
@@ -197,6 +214,19 @@
     flow.stalled_epoch = load.progress_epoch - 1;
 }
 
+// Notes how long a request took that found a slot free.
+auto note_request_time(forwarding_state& state, route_record& route, const flow_record& flow, time_ms at)
+    -> void {
+    if (!flow.is_busy || !flow.found_free_slot) {
+        return;
+    }
+    const auto took = static_cast<double>(std::max<std::int64_t>(1, at - flow.busy_since));
+    route.request_ms += route.requests == 0 ? took : (took - route.request_ms) * request_time_weight;
+    if (++route.requests == route_in_use_requests) {
+        find_urgent_routes(state.known);
+    }
+}
+
 // Notes data of the client. Returns whether the target is believed dead.
 auto note_data(forwarding_state& state, flow_record& flow, const client_packet& packet, time_ms at) -> bool {
     auto& load = load_of(state, flow.target);
@@ -212,6 +242,7 @@
     flow.highest_sequence = end;
     if (!flow.is_busy) {
         ++flow.requests;
+        flow.found_free_slot = busy_per_slot(state.known.targets[flow.target]) < 1;
         set_busy(state, flow, true, at);
     }
     return at < load.dead_until;
@@ -335,6 +366,7 @@
     flow.last_packet = at;
     if (is_after(packet.acknowledgement, flow.acknowledgement)) {
         flow.acknowledgement = packet.acknowledgement;
+        note_request_time(state, *route, flow, at);
         note_progress(target.load, at);
         set_busy(state, flow, false, at);
     }
@@ -433,6 +465,8 @@
             return "stale_route";
         case packet_reason::no_target:
             return "no_target";
+        case packet_reason::overloaded:
+            return "overloaded";
         case packet_reason::unknown_carrier:
             return "unknown_carrier";
         case packet_reason::unknown_carrier_reset:
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -52,6 +52,9 @@
 // Weight of the newest closed flow in a route's average of requests per flow.
 constexpr double requests_average_weight = 0.05;
 
+// Weight of the newest request in a route's average time of a request.
+constexpr double request_time_weight = 0.05;
+
 // What is done with a packet.
 enum class packet_action {
     forward,  // to the target
@@ -69,6 +72,7 @@
     unknown_route,          // no route has this address
     stale_route,            // no route has this address, but the configuration may be out of date
     no_target,              // no target of the service takes flows
+    overloaded,             // no target of the service would answer in time
     unknown_carrier,        // the carrier names no target
     unknown_carrier_reset,  // the same, again and with a current view: the target is gone
     foreign_carrier,        // the carrier names a target of another service
@@ -93,8 +97,9 @@
     std::uint32_t acknowledgement = 0;   // highest seen
     std::uint32_t stalled_epoch = 0;     // progress_epoch of the target when the flow was counted as stalled
     std::uint32_t requests = 0;
-    bool is_open = false;  // a packet after the opening was seen
-    bool is_busy = false;  // a request is in progress
+    bool is_open = false;          // a packet after the opening was seen
+    bool is_busy = false;          // a request is in progress
+    bool found_free_slot = false;  // that request, when it was sent
     time_ms last_packet;
     time_ms busy_since;
     tried_targets tried;  // of an opening flow
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -112,6 +112,35 @@
     return trusted.index ? trusted.index : suspected.index;
 }
 
+auto busy_per_slot(const target_record& target) -> double {
+    const auto& load = target.load;
+    return static_cast<double>(load.busy_flows + load.pending_opens + load.told_busy) /
+           static_cast<double>(target.entry.slots);
+}
+
+auto least_busy_target(const directory& known, const std::string& service, time_ms at)
+    -> std::optional<target_index> {
+    const auto members = known.by_service.find(service);
+    if (members == known.by_service.end()) {
+        return std::nullopt;
+    }
+    auto best = std::optional<target_index>{};
+    for (const auto index : members->second) {
+        const auto& target = known.targets[index];
+        if (takes_new_flows(known, index) && !is_suspect(target.load, at) &&
+            (!best || busy_per_slot(target) < busy_per_slot(known.targets[*best]))) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+auto is_in_time(const route_record& route, const target_record& target) -> bool {
+    const auto share = route.is_urgent ? urgent_latency_share : other_latency_share;
+    const auto limit_ms = share * static_cast<double>(route.entry.target_latency_ms);
+    return limit_ms == 0 || busy_per_slot(target) * route.request_ms <= limit_ms;
+}
+
 auto choose_service(const directory& known, const route_entry& route, std::minstd_rand& random)
     -> const std::string* {
     const auto has_targets = [&](const route_backend& backend) {
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -43,6 +43,23 @@
     std::string_view zone;  // of this host
 };
 
+// Shares of a route's target latency that a new request may be expected to take. Beyond the second no request
+// is admitted: it would come late, and make those after it late. Routes that others of their service go
+// before stop at the first, which keeps room for urgent ones. Flows that are open go on using slots, so the
+// first has to be well below one.
+constexpr double other_latency_share = 0.8;
+constexpr double urgent_latency_share = 2.0;
+
+// Returns the requests in progress or on their way per slot of a target, as far as this host knows.
+auto busy_per_slot(const target_record& target) -> double;
+
+// Returns the target of a service with the fewest requests per slot, suspects left out, or nothing.
+auto least_busy_target(const directory& known, const std::string& service, time_ms at)
+    -> std::optional<target_index>;
+
+// Returns whether a new request of the route is expected to be answered in time by the target.
+auto is_in_time(const route_record& route, const target_record& target) -> bool;
+
 // Deals the targets of a zone among its hosts: each target goes to one host by the highest weight of their
 // pair (rendezvous hashing), so that a host that comes or goes moves only its own share. Without hosts, no
 // target is dealt.
--- a/tests/edge_forwarding_test.cpp
+++ b/tests/edge_forwarding_test.cpp
@@ -43,6 +43,10 @@
     CPPUNIT_TEST(request_without_response_does_not_count_for_ever);
     CPPUNIT_TEST(reset_of_a_second_answer_does_not_end_the_flow);
     CPPUNIT_TEST(service_without_targets_is_refused_at_once);
+    CPPUNIT_TEST(overload_refuses_urgent_requests_last);
+    CPPUNIT_TEST(copies_of_an_admitted_opening_are_not_refused);
+    CPPUNIT_TEST(less_busy_target_is_taken_before_a_refusal);
+    CPPUNIT_TEST(route_that_is_hardly_used_goes_before_none);
     CPPUNIT_TEST_SUITE_END();
 
     static auto load(const forwarding_state& state, const std::string& name) -> const target_load& {
@@ -520,6 +524,66 @@
         CPPUNIT_ASSERT(verdict.action == packet_action::reset);
         CPPUNIT_ASSERT(verdict.reason == packet_reason::no_target);
     }
+
+    // Feeds at port 443 and filings at 8080, which go first. Requests are known to take 60 ms.
+    static auto state_with_priorities(const std::vector<test_target>& targets) -> forwarding_state {
+        auto state = test_state(
+            targets, {{443, "desk", "idempotent", 250, 2}, {8080, "desk", "non_idempotent", 300, 1}});
+        for (auto& [key, route] : state.known.routes) {
+            route.request_ms = 60;
+            route.requests = route_in_use_requests;
+        }
+        find_urgent_routes(state.known);
+        return state;
+    }
+
+    static auto set_busy(forwarding_state& state, const std::string& name, std::uint32_t told_busy) -> void {
+        state.known.targets[state.known.by_name.at(name)].load.told_busy = told_busy;
+    }
+
+    // The expected times are 30, 240 and 720 ms with two slots.
+    auto overload_refuses_urgent_requests_last() -> void {
+        auto state = state_with_priorities({{"i-1"}});
+        auto port = std::uint16_t{1};
+        const auto reason_of = [&](std::uint16_t service_port) {
+            return handle_packet(state, opening(++port, service_port), old_view, test_start).reason;
+        };
+        set_busy(state, "i-1", 1);
+        CPPUNIT_ASSERT(reason_of(443) == packet_reason::opened);
+        set_busy(state, "i-1", 8);
+        CPPUNIT_ASSERT(reason_of(443) == packet_reason::overloaded);
+        CPPUNIT_ASSERT(reason_of(8080) == packet_reason::opened);
+        set_busy(state, "i-1", 24);
+        CPPUNIT_ASSERT(reason_of(8080) == packet_reason::overloaded);
+    }
+
+    // The refusal would end an attempt that a target has taken.
+    auto copies_of_an_admitted_opening_are_not_refused() -> void {
+        auto state = state_with_priorities({{"i-1"}, {"i-2"}});
+        handle_packet(state, opening(1), current_view, test_start);
+        set_busy(state, "i-1", 50);
+        set_busy(state, "i-2", 50);
+        const auto verdict = handle_packet(state, opening(1), current_view, test_start + 200);
+        CPPUNIT_ASSERT(verdict.action == packet_action::forward);
+    }
+
+    // Feeds go to the target with the fewest open flows, which may be a busy one.
+    auto less_busy_target_is_taken_before_a_refusal() -> void {
+        auto state = state_with_priorities({{"i-1"}, {"i-2"}});
+        set_busy(state, "i-1", 8);
+        state.known.targets[state.known.by_name.at("i-2")].load.told_open = 200;
+        const auto verdict = handle_packet(state, opening(1), current_view, test_start);
+        CPPUNIT_ASSERT(verdict.action == packet_action::forward);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-2"), name_of(state, verdict));
+    }
+
+    // Operators try each new route with a few requests; its priority must not push back the others.
+    auto route_that_is_hardly_used_goes_before_none() -> void {
+        auto state = state_with_priorities({{"i-1"}});
+        state.known.routes.at(route_key(test_service_address, 8080)).requests = route_in_use_requests - 1;
+        find_urgent_routes(state.known);
+        CPPUNIT_ASSERT(state.known.routes.at(route_key(test_service_address, 443)).is_urgent);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(edge_forwarding_test);
--- a/tests/edge_load_test.cpp
+++ b/tests/edge_load_test.cpp
@@ -20,6 +20,8 @@
 constexpr double feed_interval_ms = 900;  // between the requests of one feed
 constexpr double feed_work_ms = 55;
 constexpr double filing_work_ms = 72;
+constexpr int feed_target_ms = 250;
+constexpr int filing_target_ms = 300;
 constexpr std::size_t told_bytes = 110;  // of a heartbeat with the loads of five targets
 
 // A request at a target.
@@ -49,7 +51,7 @@
     int avoidable = 0;  // waited while another target of the zone had a free slot
     int requests = 0;
     int late = 0;  // over the aim
-    int lost = 0;  // never answered
+    int lost = 0;  // refused
 };
 
 // A flow of a client.
@@ -70,12 +72,22 @@
     random,  // the naive version: any usable target
 };
 
+// Hosts refuse nothing for its expected time.
+auto routes_without_target() -> std::vector<test_route> {
+    return {{feed_route, "desk", "idempotent", 0, 2}, {filing_route, "desk", "non_idempotent", 0, 1}};
+}
+
+auto routes_with_target(int feed_priority, int filing_priority) -> std::vector<test_route> {
+    return {{feed_route, "desk", "idempotent", feed_target_ms, feed_priority},
+            {filing_route, "desk", "non_idempotent", filing_target_ms, filing_priority}};
+}
+
 // Clients of one zone, its hosts and all targets.
 class load_model {
 public:
-    load_model(const std::vector<test_target>& targets, std::size_t hosts, unsigned seed, model_choice choice)
+    load_model(const std::vector<test_target>& targets, std::size_t hosts, unsigned seed, model_choice choice,
+               const std::vector<test_route>& routes = routes_without_target())
         : choice_(choice), random_(seed) {
-        const auto routes = std::vector<test_route>{{feed_route}, {filing_route, "desk", "non_idempotent"}};
         for (auto i = std::size_t{0}; i < hosts; ++i) {
             hosts_.push_back(test_state(targets, routes));
             hosts_.back().random.seed(seed * 10 + static_cast<unsigned>(i));
@@ -141,8 +153,7 @@
 
     // A host starts anew without counts.
     auto restart_host(std::size_t index, const std::vector<test_target>& targets) -> void {
-        const auto routes = std::vector<test_route>{{feed_route}, {filing_route, "desk", "non_idempotent"}};
-        hosts_[index] = test_state(targets, routes);
+        hosts_[index] = test_state(targets, routes_without_target());
     }
 
     auto silence_zone(const std::string& zone) -> void {
@@ -286,7 +297,7 @@
 
     auto finish(const model_target& one, const model_request& request) -> void {
         auto& flow = flows_[request.client_port];
-        seen.late += at_ - request.sent > (request.is_feed ? 250 : 300) ? 1 : 0;
+        seen.late += at_ - request.sent > (request.is_feed ? feed_target_ms : filing_target_ms) ? 1 : 0;
         flow.is_busy = false;
         flow.got_bytes += 700;
         flow.next_request = at_ + static_cast<std::int64_t>(exponential(feed_interval_ms));
@@ -353,6 +364,9 @@
     CPPUNIT_TEST(naive_choice_does_not_find_them);
     CPPUNIT_TEST(hosts_of_a_large_zone_find_the_free_slots);
     CPPUNIT_TEST(old_counts_of_many_hosts_do_not_find_them);
+    CPPUNIT_TEST(overload_leaves_admitted_requests_in_time);
+    CPPUNIT_TEST(overload_without_refusals_makes_all_late);
+    CPPUNIT_TEST(burst_within_the_slots_is_not_refused);
     CPPUNIT_TEST(release_spreads_the_feeds);
     CPPUNIT_TEST(cut_zone_is_left_out_at_once);
     CPPUNIT_TEST(host_without_counts_learns_them_from_packets_and_hosts);
@@ -441,6 +455,57 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(found), found > large_zone_bound);
     }
 
+    // Filings alone ask for 18 of 15 slots, beside feeds that take 6.
+    static auto overload(const std::vector<test_route>& routes) -> model_result {
+        auto sum = model_result{};
+        for (auto seed = 1U; seed <= 5; ++seed) {
+            auto model = load_model(zone_targets(5), 1, seed, model_choice::hosts, routes);
+            model.feeds = 100;
+            model.filings_per_s = 31;
+            model.run(4000);
+            model.seen = {};
+            model.filings_per_s *= 8;
+            model.run(4000);
+            sum.requests += model.seen.requests;
+            sum.late += model.seen.late;
+            sum.lost += model.seen.lost;
+            sum.filings += model.seen.filings;
+        }
+        return sum;
+    }
+
+    static constexpr double late_bound = 0.25;
+
+    // Requests of a route that another goes before. A client that is refused at once comes again; one that
+    // waits behind a long queue is late, as are all after it.
+    auto overload_leaves_admitted_requests_in_time() -> void {
+        const auto seen = overload(routes_with_target(1, 2));
+        const auto late = share(seen.late, seen.requests);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(late), late <= late_bound);
+        // No more is refused than the slots cannot take: (18 + 6 - 15) of 18, and a tenth of it.
+        const auto refused = share(seen.lost, seen.filings);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(refused), refused <= 0.55);
+    }
+
+    // Shows that the bound can be missed.
+    auto overload_without_refusals_makes_all_late() -> void {
+        const auto seen = overload(routes_without_target());
+        const auto late = share(seen.late, seen.requests);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(late), late > late_bound);
+    }
+
+    auto burst_within_the_slots_is_not_refused() -> void {
+        for (auto seed = 1U; seed <= 10; ++seed) {
+            auto model = load_model(zone_targets(5), 2, seed, model_choice::hosts, routes_with_target(2, 1));
+            model.feeds = 100;
+            model.filings_per_s = 31;
+            model.run(5000);
+            model.filings_per_s *= 1.7;
+            model.run(3000);
+            CPPUNIT_ASSERT_EQUAL(0, model.seen.lost);
+        }
+    }
+
     // All feeds of a target open anew within seconds; the others must get equal shares.
     auto release_spreads_the_feeds() -> void {
         auto model = load_model(zone_targets(5), 1, 7, model_choice::hosts);
--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -213,17 +213,18 @@
     }
 
     auto configuration_is_read() -> void {
-        const auto value = R"({"version":7,"routes":[{"name":"r","hostname":"198.18.0.1","prefix":"/8443/",)"
-                           R"("route-type":"download","timeout-ms":1500,"priority":2,"backends":)"
-                           R"([{"service":"x","weight":90},{"service":"y","weight":10}]}],)"
-                           R"("limits":{"idle-timeout-ms":15000}})";
+        const auto value =
+            R"({"version":7,"routes":[{"name":"r","hostname":"198.18.0.1","prefix":"/8443/",)"
+            R"("route-type":"download","timeout-ms":1500,"target-latency-ms":250,"priority":2,"backends":)"
+            R"([{"service":"x","weight":90},{"service":"y","weight":10}]}],)"
+            R"("limits":{"idle-timeout-ms":15000}})";
         const auto read = test_platform().read_item("op/config", value);
         CPPUNIT_ASSERT(read.has_value());
         const auto& table = std::get<route_table>(*read);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, table.version);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{15000}, table.idle_timeout_ms);
         const auto expected =
-            route_entry{0xc6120001, 8443, {{"x", 90}, {"y", 10}}, request_kind::download, 1500, 2};
+            route_entry{0xc6120001, 8443, {{"x", 90}, {"y", 10}}, request_kind::download, 1500, 250, 2};
         CPPUNIT_ASSERT(table.routes.at(0) == expected);
     }
 
--- a/tests/edge_test_func.h
+++ b/tests/edge_test_func.h
@@ -51,6 +51,8 @@
     int port = 443;
     std::string service = "desk";
     std::string kind = "idempotent";
+    int target_latency_ms = 0;
+    int priority = 1;
 };
 
 inline auto routes_item(const std::vector<test_route>& routes, int version, std::uint64_t revision)
@@ -62,7 +64,8 @@
                         {"prefix", "/" + std::to_string(route.port) + "/"},
                         {"route-type", route.kind},
                         {"timeout-ms", 1500},
-                        {"priority", 1},
+                        {"target-latency-ms", route.target_latency_ms},
+                        {"priority", route.priority},
                         {"service", route.service}});
     }
     const auto value =
