Fix: [edge] An unanswered opening counts against a target only when another target answered it

Traced there (/edge-hu-central-b-3, 22.5 to 23.3 s): a configuration had grown by many routes, other hosts read it from this one, and its link of 10 Mbit/s was full. No opening through it was answered by any target; each was taken as that target's silence, a target with three stalled flows was found dead, and its open flows were reset. Ruled out: answers that waited in the socket (mended on the way: retries wait until the socket is read dry), a cut, the target.

Change: the targets that an opening was sent to before count as silent when a later one answers, so that the client lives and the link carries. Copies of an opening are never refused for load: the first may have been taken through another host. Hosts of other zones that come and go are not logged in large fleets.

Tests: silence_of_all_targets_says_nothing_of_one, which fails with the rule before (three targets suspected, one dead), and a copy in copies_of_an_admitted_opening_are_not_refused.

Left: hosts with small links that serve a large configuration to others.

--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -120,11 +120,12 @@
 private:
     auto make_follower_events() -> follower_events;
     auto observe_time() -> time_ms;
-    auto handle_packets() -> void;
+    auto handle_packets() -> bool;
     auto handle_one(packet_buffer& buffer, time_ms at, std::int64_t view_age) -> void;
     auto forward(packet_buffer& buffer, const client_packet& packet, const packet_verdict& verdict) -> void;
     auto send_reset(const client_packet& packet) -> void;
     auto send_retries(time_ms at) -> void;
+    auto note_silent_targets(time_ms at) -> void;
     auto reset_dead_flows(time_ms at) -> void;
     auto handle_heartbeats() -> void;
     auto send_heartbeats(time_ms at) -> void;
@@ -141,6 +142,11 @@
     auto reload(const settings_reader& read_settings) -> void;
     auto note_ready() -> void;
     auto read_packets_when_useful(time_ms at) -> void;
+    // Whether hosts of a zone that come and go are logged. In a large fleet, hosts of other zones are heard
+    // by chance.
+    auto is_watched(const std::string& zone) const -> bool {
+        return zone == settings_.zone || !is_large_fleet(group_);
+    }
     auto is_ready() const -> bool { return can_place(state_.known) && !is_stopping_; }
     auto view_age_ms(time_ms at) -> std::int64_t;
     auto next_time(time_ms at) const -> time_ms;
@@ -236,7 +242,8 @@
     return at;
 }
 
-auto edge_host::handle_packets() -> void {
+// Returns whether all packets that had arrived are handled.
+auto edge_host::handle_packets() -> bool {
     const auto at = observe_time();
     const auto age = view_age_ms(at);
     for (auto turn = 0; turn < batches_per_turn; ++turn) {
@@ -247,11 +254,13 @@
         loads_changed_ = loads_changed_ || got != 0;
         packets_.send_all();
         resets_.clear();
+        note_silent_targets(at);
         if (got < packet_batch) {
             packets_waited_ = false;
-            return;
+            return true;
         }
     }
+    return false;
 }
 
 auto edge_host::handle_one(packet_buffer& buffer, time_ms at, std::int64_t view_age) -> void {
@@ -300,9 +309,10 @@
     if (state_.pending.empty() || at < state_.pending.front().deadline) {
         return;
     }
-    handle_packets();
+    if (!handle_packets()) {
+        return;  // the answers may be among those that wait
+    }
     const auto retries = take_open_retries(state_, at);
-    reset_dead_flows(at);
     if (retries.empty()) {
         return;
     }
@@ -315,17 +325,27 @@
         platform_.write_carrier(bytes.data() + forward_prefix_bytes, target.carrier);
         packets_.queue(bytes.data(), bytes.size(), target.address, target.port);
         count(counter::edge_open_retried);
-        log_retry(state_, retries[i], at);
+        log_retry(state_, retries[i]);
     }
     packets_.send_all();
 }
 
-// Resets the flows that wait at targets found dead, so that their clients need not wait for a retransmission.
-auto edge_host::reset_dead_flows(time_ms at) -> void {
+auto edge_host::note_silent_targets(time_ms at) -> void {
+    for (const auto index : state_.found_suspects) {
+        log_suspect(state_.known.targets[index], at);
+    }
     for (const auto index : state_.found_dead) {
         log_dead(state_.known.targets[index]);
     }
+    state_.found_suspects.clear();
     state_.found_dead.clear();
+    if (!state_.dead_flows.empty()) {
+        reset_dead_flows(at);
+    }
+}
+
+// Resets the flows that wait at targets found dead, so that their clients need not wait for a retransmission.
+auto edge_host::reset_dead_flows(time_ms at) -> void {
     const auto verdict = packet_verdict{packet_action::reset, packet_reason::target_dead, 0, false, true};
     for (const auto& dead : state_.dead_flows) {
         auto packet = client_packet{};
@@ -364,7 +384,9 @@
         const auto sender = ntohl(from.sin_addr.s_addr);
         const auto zone = beat->zone;
         if (note_heartbeat(group_, state_.known, sender, std::move(*beat), at)) {
-            write_log(log_event::peer_alive, {{"peer", address_text(sender)}, {"peer_zone", zone}});
+            if (is_watched(zone)) {
+                write_log(log_event::peer_alive, {{"peer", address_text(sender)}, {"peer_zone", zone}});
+            }
             send_heartbeat_to({sender}, at);  // it learns of this host at once
         }
     }
@@ -545,7 +567,10 @@
                   {{"target", name}, {"reason", "not back after the store's outage"}});
     }
     for (const auto address : expire_peers(group_, state_.known, at)) {
-        write_log(log_event::peer_silent, {{"peer", address_text(address)}});
+        const auto found = group_.peers.find(address);
+        if (found != group_.peers.end() && is_watched(found->second.last.zone)) {
+            write_log(log_event::peer_silent, {{"peer", address_text(address)}});
+        }
     }
     ready_server_.on_time(at);
     sync_server_.on_time(at);
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -143,7 +143,13 @@
                {"pause_ms", std::to_string(dead_ms)}});
 }
 
-auto log_retry(const forwarding_state& state, const open_retry& retry, time_ms at) -> void {
+auto log_suspect(const target_record& target, time_ms at) -> void {
+    write_log(log_event::target_suspected, {{"target", target.entry.name},
+                                            {"unanswered", std::to_string(target.load.silent_opens)},
+                                            {"pause_ms", std::to_string(target.load.suspect_until - at)}});
+}
+
+auto log_retry(const forwarding_state& state, const open_retry& retry) -> void {
     const auto& target = state.known.targets[retry.target];
     const auto found = state.flows.find(retry.flow);
     const auto has_from = found != state.flows.end() && found->second.tried.size() > 1;
@@ -152,13 +158,6 @@
                                              {"from", state.known.targets[from].entry.name},
                                              {"target", target.entry.name},
                                              {"load", load_text(target.load)}});
-    const auto& silent = state.known.targets[from];
-    if (at < silent.load.suspect_until) {
-        write_log(log_event::target_suspected,
-                  {{"target", silent.entry.name},
-                   {"unanswered", std::to_string(silent.load.silent_opens)},
-                   {"pause_ms", std::to_string(silent.load.suspect_until - at)}});
-    }
 }
 
 auto log_item(const store_item& item, const item_outcome& outcome, const directory& known) -> void {
--- a/src/edge/edge_log_func.h
+++ b/src/edge/edge_log_func.h
@@ -21,11 +21,14 @@
                  std::int64_t view_age_ms) -> void;
 
 // Writes the line of an opening packet that is sent to another target without the client's asking, and one if
+// Logs that a target leaves openings unanswered, and for how long it is left out.
+auto log_suspect(const target_record& target, time_ms at) -> void;
+
 // Logs that a target is believed dead.
 auto log_dead(const target_record& target) -> void;
 
 // the silent target is a suspect now.
-auto log_retry(const forwarding_state& state, const open_retry& retry, time_ms at) -> void;
+auto log_retry(const forwarding_state& state, const open_retry& retry) -> void;
 
 // Writes the line of an item that changed what this host believes.
 auto log_item(const store_item& item, const item_outcome& outcome, const directory& known) -> void;
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -74,8 +74,9 @@
                                         : route.requests_per_flow >= long_flow_requests;
 }
 
-// Sends an opening packet to one more target. Returns the reason if there is none.
-auto place(forwarding_state& state, const route_record& route, flow_record& flow, time_ms at)
+// Sends an opening packet to one more target. Returns the reason if there is none, or, if it may be refused,
+// none that would answer in time.
+auto place(forwarding_state& state, const route_record& route, flow_record& flow, bool may_refuse, time_ms at)
     -> tl::expected<target_index, packet_reason> {
     const auto* service = choose_service(state.known, route.entry, state.random);
     if (service == nullptr) {
@@ -86,7 +87,7 @@
     if (!target) {
         return tl::unexpected(packet_reason::no_target);
     }
-    if (flow.tried.empty() && !is_in_time(route, state.known.targets[*target])) {
+    if (may_refuse && !is_in_time(route, state.known.targets[*target])) {
         // The choice weighs more than requests in progress. One with fewer of them may be in time.
         target = least_busy_target(state.known, *service, at).value_or(*target);
         if (!is_in_time(route, state.known.targets[*target])) {
@@ -120,9 +121,14 @@
     const auto is_first = flow.tried.empty();
     flow.last_packet = at;
     flow.highest_sequence = packet.sequence + 1;
+    if (is_first) {
+        flow.opening_sent = at;
+    }
+    // A copy (its acknowledgement counts them) may follow an opening that a target took through another host.
+    const auto may_refuse = is_first && packet.acknowledgement == 0;
     auto refusal = packet_reason::no_target;
     if (flow.tried.size() < open_target_limit) {
-        if (const auto target = place(state, *route, flow, at)) {
+        if (const auto target = place(state, *route, flow, may_refuse, at)) {
             state.pending.push_back({packet.flow, at + open_timeout_ms, {}});
             return {packet_action::forward, is_first ? packet_reason::opened : packet_reason::open_retried,
                     *target, true, true};
@@ -185,8 +191,68 @@
     }
 }
 
+// How long a target is a suspect after this number of unanswered openings in a row.
+auto suspicion_ms(std::uint32_t silent_opens) -> std::int64_t {
+    auto pause = suspect_ms;
+    for (auto i = suspect_after_opens; i < silent_opens && pause < suspect_limit_ms; ++i) {
+        pause *= 2;
+    }
+    return pause;
+}
+
+// Collects the flows that wait for a response of a dead target and can be repeated.
+auto collect_dead_flows(forwarding_state& state, target_index index, time_ms at) -> void {
+    absl::erase_if(state.flows, [&](auto& entry) {
+        auto& [key, flow] = entry;
+        const auto* route = find_route(state.known, key);
+        if (!flow.is_open || !flow.is_busy || flow.target != index || route == nullptr ||
+            route->entry.kind == request_kind::non_idempotent) {
+            return false;
+        }
+        state.dead_flows.push_back({key, flow.acknowledgement});
+        release_flow(state, flow, at);
+        return true;
+    });
+}
+
+// Notes that an opening sent to a target at `sent` has stayed without an answer, while another target
+// answered it. A doubted target is dead then.
+auto note_silent_opening(forwarding_state& state, target_index index, time_ms sent, time_ms at) -> void {
+    auto& load = load_of(state, index);
+    if (++load.silent_opens >= suspect_after_opens) {
+        load.suspect_until = at + suspicion_ms(load.silent_opens);
+        state.found_suspects.push_back(index);
+    }
+    if (load.doubted_since == time_ms{} || sent < load.doubted_since) {
+        return;
+    }
+    if (++load.silent_since_doubt >= dead_after_opens) {
+        load.doubted_since = {};
+        load.dead_until = at + dead_ms;
+        state.found_dead.push_back(index);
+        collect_dead_flows(state, index, at);
+    }
+}
+
+// Notes that a target answered the opening of a flow. Targets that got it before have not: only now it is
+// known that the client lives and that packets of this host arrive.
+auto note_opening_answered(forwarding_state& state, flow_record& flow, target_index index, time_ms at)
+    -> void {
+    const auto answered = absl::c_find(flow.tried, index);
+    if (answered != flow.tried.end()) {
+        note_answered_opening(load_of(state, index));
+        for (auto silent = flow.tried.begin(); silent != answered; ++silent) {
+            note_silent_opening(state, *silent, flow.opening_sent, at);
+        }
+    }
+    for (const auto tried : flow.tried) {
+        lower(load_of(state, tried).pending_opens);
+    }
+    flow.tried.clear();
+}
+
 // Notes that a flow is open at the target that its packets name.
-auto note_open(forwarding_state& state, flow_record& flow, target_index index) -> void {
+auto note_open(forwarding_state& state, flow_record& flow, target_index index, time_ms at) -> void {
     if (flow.is_open && flow.target == index) {
         return;
     }
@@ -197,13 +263,7 @@
             flow.is_busy = false;
         }
     } else {
-        for (const auto tried : flow.tried) {
-            lower(load_of(state, tried).pending_opens);
-            if (tried == index) {
-                note_answered_opening(load_of(state, tried));
-            }
-        }
-        flow.tried.clear();
+        note_opening_answered(state, flow, index, at);
     }
     flow.is_open = true;
     flow.target = index;
@@ -248,48 +308,6 @@
     return at < load.dead_until;
 }
 
-// How long a target is a suspect after this number of unanswered openings in a row.
-auto suspicion_ms(std::uint32_t silent_opens) -> std::int64_t {
-    auto pause = suspect_ms;
-    for (auto i = suspect_after_opens; i < silent_opens && pause < suspect_limit_ms; ++i) {
-        pause *= 2;
-    }
-    return pause;
-}
-
-// Collects the flows that wait for a response of a dead target and can be repeated.
-auto collect_dead_flows(forwarding_state& state, target_index index, time_ms at) -> void {
-    absl::erase_if(state.flows, [&](auto& entry) {
-        auto& [key, flow] = entry;
-        const auto* route = find_route(state.known, key);
-        if (!flow.is_open || !flow.is_busy || flow.target != index || route == nullptr ||
-            route->entry.kind == request_kind::non_idempotent) {
-            return false;
-        }
-        state.dead_flows.push_back({key, flow.acknowledgement});
-        release_flow(state, flow, at);
-        return true;
-    });
-}
-
-// Notes that an opening sent to a target at `sent` has stayed without an answer. A doubted target is dead
-// then.
-auto note_silent_opening(forwarding_state& state, target_index index, time_ms sent, time_ms at) -> void {
-    auto& load = load_of(state, index);
-    if (++load.silent_opens >= suspect_after_opens) {
-        load.suspect_until = at + suspicion_ms(load.silent_opens);
-    }
-    if (load.doubted_since == time_ms{} || sent < load.doubted_since) {
-        return;
-    }
-    if (++load.silent_since_doubt >= dead_after_opens) {
-        load.doubted_since = {};
-        load.dead_until = at + dead_ms;
-        state.found_dead.push_back(index);
-        collect_dead_flows(state, index, at);
-    }
-}
-
 auto handle_unknown_carrier(forwarding_state& state, const client_packet& packet, packet_context context,
                             time_ms at) -> packet_verdict {
     if (packet.payload_bytes == 0) {
@@ -362,7 +380,7 @@
     if (!flow.is_open) {
         flow.acknowledgement = packet.acknowledgement;
     }
-    note_open(state, flow, index);
+    note_open(state, flow, index, at);
     flow.last_packet = at;
     if (is_after(packet.acknowledgement, flow.acknowledgement)) {
         flow.acknowledgement = packet.acknowledgement;
@@ -419,12 +437,11 @@
             continue;
         }
         auto& flow = found->second;
-        note_silent_opening(state, flow.target, deadline + -open_timeout_ms, at);
         const auto* route = find_route(state.known, key);
         if (route == nullptr || flow.tried.size() >= open_target_limit) {
             continue;
         }
-        if (const auto target = place(state, *route, flow, at)) {
+        if (const auto target = place(state, *route, flow, false, at)) {
             retries.push_back({key, *target, packet});
             state.pending.push_back({key, at + open_timeout_ms, packet});
         }
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -102,7 +102,8 @@
     bool found_free_slot = false;  // that request, when it was sent
     time_ms last_packet;
     time_ms busy_since;
-    tried_targets tried;  // of an opening flow
+    time_ms opening_sent;  // for the first time
+    tried_targets tried;   // of an opening flow
 };
 
 // The bytes of an opening packet, which has no data.
@@ -133,9 +134,10 @@
     directory known;
     std::string zone;  // of this host
     absl::flat_hash_map<flow_key, flow_record> flows;
-    std::deque<pending_open> pending;      // by deadline
-    std::vector<dead_flow> dead_flows;     // to be reset by the caller of take_open_retries
-    std::vector<target_index> found_dead;  // for the log; emptied by the caller
+    std::deque<pending_open> pending;          // by deadline
+    std::vector<dead_flow> dead_flows;         // to be reset by the caller of handle_packet
+    std::vector<target_index> found_dead;      // for the log; emptied by the caller
+    std::vector<target_index> found_suspects;  // the same
     std::minstd_rand random{1};
 };
 
@@ -145,7 +147,8 @@
     bool has_waited = false;       // in the socket while this host stood still, perhaps for seconds
 };
 
-// Judges a client's packet and notes what it tells of flow and target.
+// Judges a client's packet and notes what it tells of flow and target. Flows of a target that is found dead
+// by it are added to `dead_flows`.
 auto handle_packet(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
     -> packet_verdict;
 
@@ -154,8 +157,7 @@
 auto note_pause(forwarding_state& state) -> void;
 
 // Returns the opening packets that got no answer in time, with the next target for each. All packets that
-// have arrived are to be handled before, or answers that wait in the socket look like silence. Flows of a
-// target that is found dead by it are added to `dead_flows`.
+// have arrived are to be handled before, or answers that wait in the socket look like silence.
 auto take_open_retries(forwarding_state& state, time_ms at) -> std::vector<open_retry>;
 
 // Forgets flows without packets for `idle_ms`, and requests without a response for too long.
--- a/tests/edge_forwarding_test.cpp
+++ b/tests/edge_forwarding_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(stalls_of_long_ago_do_not_count);
     CPPUNIT_TEST(one_unanswered_opening_does_not_make_a_doubted_target_dead);
     CPPUNIT_TEST(target_that_answers_only_openings_is_hung);
+    CPPUNIT_TEST(silence_of_all_targets_says_nothing_of_one);
     CPPUNIT_TEST(slow_target_with_progress_is_not_dead);
     CPPUNIT_TEST(retransmissions_to_a_host_that_just_started_are_no_dead_target);
     CPPUNIT_TEST(requests_that_all_take_long_are_no_dead_target);
@@ -355,6 +356,22 @@
                        packet_action::forward);
     }
 
+    // The own link was full: no opening was answered by any target, and flows of all stalled.
+    auto silence_of_all_targets_says_nothing_of_one() -> void {
+        auto state = test_state({{"i-1"}, {"i-2"}, {"i-3"}});
+        stall(state, flows_at(state, 1, 4), 0, test_start);
+        for (auto port = std::uint16_t{900}; port < 910; ++port) {
+            handle_packet(state, opening(port), current_view, test_start + 210);
+        }
+        for (auto at = test_start + 210; at < test_start + 600; at = at + 5) {
+            take_open_retries(state, at);
+        }
+        CPPUNIT_ASSERT(state.found_dead.empty());
+        for (const auto* name : {"i-1", "i-2", "i-3"}) {
+            CPPUNIT_ASSERT(load(state, name).suspect_until == time_ms{});
+        }
+    }
+
     auto target_that_answers_only_openings_is_hung() -> void {
         auto state = test_state({{"i-1"}, {"i-2"}});
         const auto ports = flows_at(state, 1, 4);
@@ -565,6 +582,11 @@
         set_busy(state, "i-2", 50);
         const auto verdict = handle_packet(state, opening(1), current_view, test_start + 200);
         CPPUNIT_ASSERT(verdict.action == packet_action::forward);
+        // The first one may have gone through another host.
+        auto copy = opening(2);
+        copy.acknowledgement = 1;
+        CPPUNIT_ASSERT(handle_packet(state, copy, current_view, test_start + 200).action ==
+                       packet_action::forward);
     }
 
     // Feeds go to the target with the fewest open flows, which may be a busy one.
