--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -138,7 +138,8 @@
             priority = std::min(priority, route.entry.priority);
         }
     }
-    for (auto& [key, route] : known.routes) {
+    for (auto& entry : known.routes) {
+        auto& route = entry.second;
         route.is_urgent = absl::c_all_of(route.entry.backends, [&](const route_backend& backend) {
             const auto found = highest.find(backend.service);
             return found == highest.end() || route.entry.priority <= found->second;
--- a/src/edge/explain_log.cpp
+++ b/src/edge/explain_log.cpp
@@ -33,11 +33,12 @@
 auto cause_of_refusal(const explained_line& line) -> std::string {
     static const auto causes = std::map<std::string, std::string>{
         {"no_target", "no target of the service takes flows: refused under load or with all targets away"},
+        {"overloaded", "no target of the service would have answered in time; it has not run"},
         {"unknown_route", "the configuration in force has no route for this address"},
         {"unknown_carrier_reset",
          "the flow's target is not registered any more, by a current view of the store"},
         {"target_left", "the flow's target drained and left, or died, while the flow was open"},
-        {"target_dead", "no flow of the target made progress while clients retransmitted: the target died"},
+        {"target_dead", "flows of the target stalled and openings stayed unanswered: the target died"},
     };
     const auto found = causes.find(field(line, "reason"));
     const auto why = found == causes.end() ? "reason " + field(line, "reason") : found->second;
--- a/tests/edge_explain_test.cpp
+++ b/tests/edge_explain_test.cpp
@@ -51,6 +51,9 @@
         assert_cause(
             explain(line("01.000", "h1", "flow_refused", id + R"(,"reason":"no_target","version":"3")")),
             "no target of the service takes flows");
+        assert_cause(
+            explain(line("01.000", "h1", "flow_refused", id + R"(,"reason":"overloaded","version":"3")")),
+            "would have answered in time");
     }
 
     auto loss_with_a_target_is_found() -> void {
