--- a/tests/edge_load_test.cpp
+++ b/tests/edge_load_test.cpp
@@ -421,11 +421,11 @@
     // Feeds and filings that keep 36% of the slots busy, as on the grown deployments: ten hosts, 40 targets.
     static auto large_zone(std::int64_t told_every_ms, bool is_dealt) -> model_result {
         constexpr auto hosts = std::size_t{10};
-        constexpr auto targets = 40;
-        constexpr auto feeds_by_target = 15;
+        constexpr auto targets = std::size_t{40};
+        constexpr auto feeds_by_target = std::size_t{15};
         auto sum = model_result{};
         for (auto seed = 1U; seed <= 4; ++seed) {
-            auto model = load_model(zone_targets(targets), hosts, seed, model_choice::hosts);
+            auto model = load_model(zone_targets(static_cast<int>(targets)), hosts, seed, model_choice::hosts);
             model.told_every_ms = told_every_ms;
             if (!is_dealt) {
                 model.undeal();
