--- a/tests/edge_load_test.cpp
+++ b/tests/edge_load_test.cpp
@@ -425,7 +425,8 @@
         constexpr auto feeds_by_target = std::size_t{15};
         auto sum = model_result{};
         for (auto seed = 1U; seed <= 4; ++seed) {
-            auto model = load_model(zone_targets(static_cast<int>(targets)), hosts, seed, model_choice::hosts);
+            auto model =
+                load_model(zone_targets(static_cast<int>(targets)), hosts, seed, model_choice::hosts);
             model.told_every_ms = told_every_ms;
             if (!is_dealt) {
                 model.undeal();
