Fix: [edge] Silence makes a target dead only if the way is sound; malformed messages and false revisions end nothing

Clients retransmitted what the hosts that started had lost, and openings over full links stayed unanswered; both are the signs of a dead target. Filings at a target taken for dead were reset when their clients retransmitted. Ruled out: a wrong target (registrations lived on, and the carriers in the resets named them). Change: silence counts against a target only while at least as many other targets answer through this host as stall, and not for 2 s after any start in the zone, which heartbeats tell by boot and age; a late heartbeat is no news. A request that cannot be repeated is never reset on inference. A port that is used again begins a new record. Packets wait 1.5 s in the socket for the first listing. CBOR is checked before it is read: one datagram nested 16,000 deep ended a host, as did a length beyond memory (shown on the code before, segmentation fault and json.exception.out_of_range.408). An exception of a handler ends that event only. A revision that the store never had leads to a new listing.

--- a/src/config/config_keeper.cpp
+++ b/src/config/config_keeper.cpp
@@ -9,6 +9,7 @@
 
 #include "config/config_func.h"
 #include "config/config_keeper_base.h"
+#include "core/cbor_func.h"
 #include "core/history_func.h"
 #include "core/log_func.h"
 
@@ -123,7 +124,7 @@
 }
 
 auto parse_delta_cbor(const std::vector<std::uint8_t>& bytes) -> result<config_delta> {
-    const auto document = json::from_cbor(bytes, true, false);
+    const auto document = read_cbor({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
     if (document.is_discarded()) {
         return invalid_delta("not CBOR");
     }
--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -128,14 +128,27 @@
 }  // namespace
 
 auto find_urgent_routes(directory& known) -> void {
+    auto busiest = absl::flat_hash_map<std::string, std::uint32_t>{};
+    for (const auto& [key, route] : known.routes) {
+        for (const auto& backend : route.entry.backends) {
+            auto& requests = busiest[backend.service];
+            requests = std::max(requests, route.requests);
+        }
+    }
     auto highest = absl::flat_hash_map<std::string, std::uint32_t>{};
+    auto lowest = absl::flat_hash_map<std::string, std::uint32_t>{};
     for (const auto& [key, route] : known.routes) {
         if (route.requests < route_in_use_requests) {
             continue;
         }
         for (const auto& backend : route.entry.backends) {
+            if (route.requests < busiest[backend.service] / route_in_use_share) {
+                continue;
+            }
             auto& priority = highest.try_emplace(backend.service, route.entry.priority).first->second;
             priority = std::min(priority, route.entry.priority);
+            auto& last = lowest.try_emplace(backend.service, route.entry.priority).first->second;
+            last = std::max(last, route.entry.priority);
         }
     }
     for (auto& entry : known.routes) {
@@ -144,6 +157,10 @@
             const auto found = highest.find(backend.service);
             return found == highest.end() || route.entry.priority <= found->second;
         });
+        route.has_lower = absl::c_any_of(route.entry.backends, [&](const route_backend& backend) {
+            const auto found = lowest.find(backend.service);
+            return found != lowest.end() && route.entry.priority < found->second;
+        });
     }
 }
 
@@ -245,6 +262,16 @@
     return missing;
 }
 
+auto distrust_revisions(directory& known, std::uint64_t store_revision) -> void {
+    known.revision = std::min(known.revision, store_revision);
+    known.forgotten_to = std::min(known.forgotten_to, store_revision);
+    for (auto& [key, item] : known.items) {
+        if (item.revision > store_revision) {
+            item.revision = 0;
+        }
+    }
+}
+
 auto expire_targets(directory& known, std::int64_t keep_ms, time_ms at) -> std::vector<std::string> {
     auto gone = std::vector<std::string>{};
     for (auto index = target_index{0}; index < known.targets.size(); ++index) {
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -22,8 +22,10 @@
 // lost, or its answer may go on through another host.
 constexpr std::uint32_t dead_after_opens = 2;
 
-// Requests from which a route counts as in use; probes of operators are fewer.
+// A route counts as in use from this number of requests on, and while it has at least one for each
+// `route_in_use_share` of the busiest route of its service. Probes of operators are fewer.
 constexpr std::uint32_t route_in_use_requests = 20;
+constexpr std::uint32_t route_in_use_share = 20;
 
 // Index of a target in the directory.
 using target_index = std::uint32_t;
@@ -45,11 +47,14 @@
     std::uint32_t silent_opens = 0;    // opening packets without an answer, in a row
     std::uint32_t stalled_flows = 0;   // flows that retransmitted since the last progress
     std::uint32_t progress_epoch = 0;  // number of times that a flow's acknowledgement grew
-    time_ms last_progress;             // when that was last seen
+    time_ms last_answer;               // when that, or an answer to an opening, was last seen
     time_ms last_stall;                // when a flow was last counted as stalled
+    time_ms last_doubt;                // when enough flows stalled for a doubt
     time_ms doubted_since;  // enough flows stall: an opening is to show whether it lives; zero: not doubted
     std::uint32_t silent_since_doubt = 0;  // openings without an answer, sent after that
     std::uint32_t answered_doubts = 0;     // doubts in a row that an answered opening ended, without progress
+    std::uint32_t silent_rounds = 0;       // pauses in a row after unanswered openings, without an answer
+    time_ms full_until;     // left an opening unanswered: its queue is full, or it does not answer at all
     time_ms suspect_until;  // gets no new flows before this time while another target can take them
     time_ms dead_until;     // its flows are reset before this time
 
@@ -58,10 +63,11 @@
                a.pending_opens == b.pending_opens && a.told_open == b.told_open &&
                a.told_busy == b.told_busy && a.silent_opens == b.silent_opens &&
                a.stalled_flows == b.stalled_flows && a.progress_epoch == b.progress_epoch &&
-               a.last_progress == b.last_progress && a.last_stall == b.last_stall &&
-               a.doubted_since == b.doubted_since && a.silent_since_doubt == b.silent_since_doubt &&
-               a.answered_doubts == b.answered_doubts && a.suspect_until == b.suspect_until &&
-               a.dead_until == b.dead_until;
+               a.last_answer == b.last_answer && a.last_stall == b.last_stall &&
+               a.last_doubt == b.last_doubt && a.doubted_since == b.doubted_since &&
+               a.silent_since_doubt == b.silent_since_doubt && a.answered_doubts == b.answered_doubts &&
+               a.silent_rounds == b.silent_rounds && a.full_until == b.full_until &&
+               a.suspect_until == b.suspect_until && a.dead_until == b.dead_until;
     }
 };
 
@@ -84,8 +90,9 @@
     std::vector<std::string> services;  // all services that it had since this host started
     double requests_per_flow = 0;       // moving average of closed flows; 0 until one has closed
     double request_ms = 0;  // moving average at targets with a free slot, round trip included; 0: unknown
-    std::uint32_t requests = 0;  // in that average
+    std::uint32_t requests = 0;  // openings and answered requests seen
     bool is_urgent = true;       // no route of its services that is in use has a higher priority
+    bool has_lower = false;      // one of these has a lower priority
 };
 
 // An item as other hosts get it.
@@ -119,6 +126,7 @@
     std::uint64_t forgotten_to = 0;   // removals up to here may be missing in `items`
     bool is_complete = false;         // a whole listing was read
     time_ms removals_in_doubt_until;  // removals learnt before this time may be lapses
+    time_ms unsettled_until;          // hosts of the zone have just started: silence of targets says nothing
     std::int64_t configuration_version = -1;
     std::int64_t idle_timeout_ms = 0;
     std::vector<target_record> targets;
@@ -143,12 +151,16 @@
 auto remove_unlisted(directory& known, const absl::flat_hash_map<std::string, bool>& listed,
                      std::uint64_t first_revision, time_ms at) -> std::vector<std::string>;
 
+// Notes that the store's newest revision is lower than what another host told: what is known beyond it is
+// false. The next listing replaces it.
+auto distrust_revisions(directory& known, std::uint64_t store_revision) -> void;
+
 // Ends the grace of lapsed targets and forgets targets that went longer than `keep_ms` ago. Returns the names
 // of targets that are gone now.
 auto expire_targets(directory& known, std::int64_t keep_ms, time_ms at) -> std::vector<std::string>;
 
-// Finds the routes that no other route of their services goes before. Routes with
-// fewer than `route_in_use_requests` requests do not count.
+// Finds the routes that no other route of their services goes before, and those that go before another.
+// Routes that are hardly used do not count.
 auto find_urgent_routes(directory& known) -> void;
 
 // Returns the target that a carrier names, or nullptr.
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -21,6 +21,7 @@
 #include "edge/packet_io_base.h"
 #include "edge/peer_group_base.h"
 #include "edge/store_follower_base.h"
+#include "edge/suspicion_func.h"
 
 namespace agatepost::edge {
 
@@ -44,9 +45,9 @@
 constexpr std::int64_t first_listing_ms = 300;
 
 // Packets that arrive before routes and targets are known wait in the socket for this long. A client
-// retransmits with growing pauses, so a packet dropped at the start costs it up to 1.6 s; a listing takes
-// some 10 ms.
-constexpr std::int64_t hold_packets_ms = 500;
+// retransmits with growing pauses, so a packet dropped at the start costs it up to 1.6 s. A listing takes
+// some 10 ms, and 0.7 s when 118 hosts start at once and share the store's link.
+constexpr std::int64_t hold_packets_ms = 1500;
 
 // How often other hosts' words are gone through when none has come in; one that does is looked at at once.
 constexpr std::int64_t peer_check_ms = 50;
@@ -112,6 +113,7 @@
         group_.zone = settings_.zone;
         // Hosts must not draw alike.
         state_.random.seed(group_.own_address ^ static_cast<std::uint32_t>(wall_clock_ms()));
+        boot_ = static_cast<std::uint32_t>(state_.random());
     }
 
     auto open() -> result<void>;
@@ -136,7 +138,7 @@
     auto consult_peers(time_ms at) -> void;
     auto deal(time_ms at) -> void;
     auto sync_with_peers(time_ms at) -> void;
-    auto apply_changes(const result<http_answer>& answer) -> void;
+    auto apply_changes(std::uint32_t peer, std::uint64_t told, const result<http_answer>& answer) -> void;
     auto choose_role(time_ms at) -> void;
     auto expire(time_ms at) -> void;
     auto reload(const settings_reader& read_settings) -> void;
@@ -149,6 +151,7 @@
     }
     auto is_ready() const -> bool { return can_place(state_.known) && !is_stopping_; }
     auto view_age_ms(time_ms at) -> std::int64_t;
+    auto take_turn(time_ms at) -> void;
     auto next_time(time_ms at) const -> time_ms;
     auto may_stop(time_ms at) const -> bool;
     auto answer_ready(std::string_view target) -> http_answer;
@@ -169,7 +172,7 @@
     store_follower follower_;
     http_client sync_client_;
     std::vector<std::array<std::uint8_t, bare_packet_bytes>> resets_;
-    std::vector<std::array<std::uint8_t, forward_prefix_bytes + bare_packet_bytes>> retries_;
+    std::vector<std::array<std::uint8_t, forward_prefix_bytes + bare_packet_bytes>> openings_;
     bool is_stopping_ = false;
     bool was_ready_ = false;
     bool reads_packets_ = false;
@@ -184,6 +187,7 @@
     std::uint64_t dealt_revision_ = 0;
     std::vector<char> heartbeat_buffer_ = std::vector<char>(largest_heartbeat_bytes);
     time_ms next_load_;
+    std::uint32_t boot_ = 0;  // of this process, drawn at random
     time_ms started_;
     time_ms stop_began_;
     time_ms last_packet_;
@@ -235,7 +239,7 @@
     const auto at = boot_now();
     if (at - last_turn_ > stood_still_ms) {
         write_log(log_event::edge_resumed, {{"ms", std::to_string(at - last_turn_)}});
-        note_pause(state_);
+        note_pause(state_, at);
         packets_waited_ = reads_packets_;
     }
     last_turn_ = at;
@@ -316,10 +320,10 @@
     if (retries.empty()) {
         return;
     }
-    retries_.resize(retries.size());
+    openings_.resize(retries.size());
     for (auto i = std::size_t{0}; i < retries.size(); ++i) {
         const auto& target = state_.known.targets[retries[i].target].entry;
-        auto& bytes = retries_[i];
+        auto& bytes = openings_[i];
         platform_.write_prefix(bytes.data(), target.tag);
         std::copy(retries[i].packet.begin(), retries[i].packet.end(), bytes.begin() + forward_prefix_bytes);
         platform_.write_carrier(bytes.data() + forward_prefix_bytes, target.carrier);
@@ -395,6 +399,8 @@
 auto edge_host::make_heartbeat(time_ms at) -> heartbeat {
     auto beat = heartbeat{};
     beat.zone = settings_.zone;
+    beat.boot = boot_;
+    beat.uptime_ms = at - started_;
     beat.revision = state_.known.is_complete ? state_.known.revision : 0;
     beat.store_age_ms = zone_store_age_ms(group_, follower_.answer_age_ms(at), at);
     beat.view_age_ms = view_age_ms(at);
@@ -518,20 +524,27 @@
         return;
     }
     const auto server = endpoint{to_address(*peer), settings_.sync_address.port};
-    sync_client_.call(server, absl::StrCat(std::string(sync_path), own), at + sync_limit_ms,
-                      [this](const result<http_answer>& answer) { apply_changes(answer); });
+    const auto told = group_.peers.at(*peer).last.revision;
+    sync_client_.call(
+        server, absl::StrCat(std::string(sync_path), own), at + sync_limit_ms,
+        [this, peer = *peer, told](const result<http_answer>& answer) { apply_changes(peer, told, answer); });
 }
 
-auto edge_host::apply_changes(const result<http_answer>& answer) -> void {
+auto edge_host::apply_changes(std::uint32_t peer, std::uint64_t told, const result<http_answer>& answer)
+    -> void {
     const auto at = boot_now();
     is_behind_ = false;
     const auto changes =
         answer ? decode_changes(answer->body) : result<peer_changes>(tl::unexpected<error>(answer.error()));
-    if (!changes) {
-        write_log(log_event::peer_read_failed, {{"fault", to_text(changes.error())}});
-        return;
-    }
-    if (changes->revision == 0) {
+    if (!changes || changes->revision < told) {
+        distrust_peer(group_, peer, at);
+        write_log(log_event::peer_read_failed,
+                  {{"peer", address_text(peer)},
+                   {"told", std::to_string(told)},
+                   {"fault", changes ? "sent revision " + std::to_string(changes->revision)
+                                     : to_text(changes.error())}});
+    }
+    if (!changes || changes->revision == 0) {
         return;
     }
     auto listed = absl::flat_hash_map<std::string, bool>{};
@@ -633,16 +646,37 @@
         return false;
     }
     const auto stopping_ms = at - stop_began_;
-    return (stopping_ms >= rotation_ms && at - last_packet_ >= quiet_ms) ||
+    const auto is_idle = at - last_packet_ >= quiet_ms;
+    return (stopping_ms >= rotation_ms && is_idle) ||
            stopping_ms >= settings_.stop_limit_ms - stop_reserve_ms;
 }
 
+// Does what is due, apart from what sockets ask for.
+auto edge_host::take_turn(time_ms at) -> void {
+    send_retries(at);
+    consult_peers(at);
+    follower_.on_time(at);
+    send_heartbeats(at);
+    tell_loads(at);
+    expire(at);
+    note_ready();
+    read_packets_when_useful(at);
+    if (at >= next_log_) {
+        next_log_ = at + log_interval_ms;
+        if (const auto dropped = log_.take_dropped(); dropped != 0) {
+            write_log(log_event::log_lines_dropped, {{"lines", std::to_string(dropped)}});
+        }
+        log_.flush();
+    }
+}
+
 auto edge_host::run(const settings_reader& read_settings) -> void {
     set_log_writer([this](const std::string& line) { log_.append(line); });
     write_log(log_event::edge_started,
               {{"data", to_text(settings_.data_address)}, {"store", to_text(settings_.store_address)}});
     last_turn_ = boot_now();
     started_ = last_turn_;
+    note_start_in_zone(state_.known, started_, started_);
     while (true) {
         const auto at = observe_time();
         if (stop_requested != 0 && !is_stopping_) {
@@ -655,23 +689,10 @@
             reload(read_settings);
         }
         if (may_stop(at)) {
+            run_guarded([&] { handle_packets(); });
             break;
         }
-        send_retries(at);
-        consult_peers(at);
-        follower_.on_time(at);
-        send_heartbeats(at);
-        tell_loads(at);
-        expire(at);
-        note_ready();
-        read_packets_when_useful(at);
-        if (at >= next_log_) {
-            next_log_ = at + log_interval_ms;
-            if (const auto dropped = log_.take_dropped(); dropped != 0) {
-                write_log(log_event::log_lines_dropped, {{"lines", std::to_string(dropped)}});
-            }
-            log_.flush();
-        }
+        run_guarded([&] { take_turn(at); });
         loop_.wait(next_time(at));
     }
     write_log(log_event::host_stopped);
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -3,6 +3,7 @@
 #include "core/counter_func.h"
 #include "core/log_func.h"
 #include "edge/edge_log_func.h"
+#include "edge/suspicion_func.h"
 
 namespace agatepost::edge {
 
@@ -40,6 +41,8 @@
             return counter::edge_target_dead;
         case packet_reason::no_carrier:
             return counter::edge_no_carrier;
+        case packet_reason::not_of_a_client:
+            return counter::edge_not_of_a_client;
     }
     return counter::edge_malformed;
 }
--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -7,6 +7,10 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <exception>
+
+#include "core/counter_func.h"
+#include "core/log_func.h"
 
 namespace agatepost::edge {
 
@@ -50,6 +54,15 @@
     handlers_.erase(fd);
 }
 
+auto run_guarded(const std::function<void()>& action) -> void {
+    try {
+        action();
+    } catch (const std::exception& fault) {
+        count(counter::edge_handler_failures);
+        write_log(log_event::handler_failed, {{"fault", fault.what()}});
+    }
+}
+
 auto event_loop::wait(time_ms until) -> void {
     auto events = std::array<epoll_event, events_per_wait>{};
     const auto left = std::clamp<std::int64_t>(until - boot_now(), 0, longest_wait_ms);
@@ -58,7 +71,7 @@
         const auto found = handlers_.find(events[static_cast<std::size_t>(i)].data.fd);
         if (found != handlers_.end()) {
             const auto kept = found->second;
-            (*kept)(events[static_cast<std::size_t>(i)].events);
+            run_guarded([&] { (*kept)(events[static_cast<std::size_t>(i)].events); });
         }
     }
 }
--- a/src/edge/event_loop_base.h
+++ b/src/edge/event_loop_base.h
@@ -14,6 +14,9 @@
 
 namespace agatepost::edge {
 
+// Runs one step of a host. An exception out of it costs a log line and a counter, and no other step.
+auto run_guarded(const std::function<void()>& action) -> void;
+
 // Calls a function for each socket that is ready. Not thread-safe.
 class event_loop {
 public:
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -4,6 +4,7 @@
 #include <tl/expected.hpp>
 
 #include "edge/forwarding_base.h"
+#include "edge/suspicion_func.h"
 
 namespace agatepost::edge {
 
@@ -101,6 +102,17 @@
     return *target;
 }
 
+// Whether an opening packet is a late copy of the one that began a flow that is open. A port is used again
+// for another flow, with any sequence number. A host that has not seen the opening goes by the data sent
+// since.
+auto is_copy_of(const client_packet& packet, const flow_record& flow) -> bool {
+    if (flow.knows_opening) {
+        return flow.opening_sequence == packet.sequence;
+    }
+    constexpr std::uint32_t most_request_bytes = 1U << 20U;
+    return flow.highest_sequence - (packet.sequence + 1) < most_request_bytes;
+}
+
 auto handle_open(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
     -> packet_verdict {
     auto* route = find_route(state.known, packet.flow);
@@ -110,9 +122,7 @@
     }
     auto& flow = state.flows[packet.flow];
     if (flow.is_open) {
-        // A new flow from a port that was used before, or a late copy: the target knows which.
-        if (is_after(flow.highest_sequence, packet.sequence + 1) ||
-            flow.highest_sequence == packet.sequence + 1) {
+        if (is_copy_of(packet, flow)) {
             return {packet_action::forward, packet_reason::established, flow.target, true, false};
         }
         release_flow(state, flow, at);
@@ -121,6 +131,8 @@
     const auto is_first = flow.tried.empty();
     flow.last_packet = at;
     flow.highest_sequence = packet.sequence + 1;
+    flow.knows_opening = true;
+    flow.opening_sequence = packet.sequence;
     if (is_first) {
         flow.opening_sent = at;
     }
@@ -145,61 +157,6 @@
     return {packet_action::forward, packet_reason::open_retried, flow.target, true, true};
 }
 
-// Forgets which flows of a target stall.
-auto forget_stalls(target_load& load) -> void {
-    ++load.progress_epoch;
-    load.stalled_flows = 0;
-    load.doubted_since = {};
-}
-
-// Notes progress: the client has got more bytes of the target.
-auto note_progress(target_load& load, time_ms at) -> void {
-    forget_stalls(load);
-    load.last_progress = at;
-    load.dead_until = {};
-    load.silent_opens = 0;
-    load.answered_doubts = 0;
-}
-
-// Notes that a target answered an opening that this host sent to it.
-auto note_answered_opening(target_load& load) -> void {
-    if (load.doubted_since != time_ms{}) {
-        ++load.answered_doubts;
-        forget_stalls(load);
-    }
-    load.dead_until = {};
-}
-
-// Notes a retransmission. Enough flows that stall make the target doubted, or dead if openings were answered
-// and nothing else.
-auto note_retransmission(target_load& load, flow_record& flow, time_ms at) -> void {
-    if (load.stalled_flows != 0 && at - load.last_stall > stall_memory_ms) {
-        forget_stalls(load);
-    }
-    if (flow.stalled_epoch == load.progress_epoch) {
-        return;
-    }
-    flow.stalled_epoch = load.progress_epoch;
-    load.last_stall = at;
-    if (++load.stalled_flows < doubted_after_flows || load.doubted_since != time_ms{}) {
-        return;
-    }
-    load.doubted_since = at;
-    load.silent_since_doubt = 0;
-    if (load.answered_doubts >= hung_after_doubts) {
-        load.dead_until = at + dead_ms;
-    }
-}
-
-// How long a target is a suspect after this number of unanswered openings in a row.
-auto suspicion_ms(std::uint32_t silent_opens) -> std::int64_t {
-    auto pause = suspect_ms;
-    for (auto i = suspect_after_opens; i < silent_opens && pause < suspect_limit_ms; ++i) {
-        pause *= 2;
-    }
-    return pause;
-}
-
 // Collects the flows that wait for a response of a dead target and can be repeated.
 auto collect_dead_flows(forwarding_state& state, target_index index, time_ms at) -> void {
     absl::erase_if(state.flows, [&](auto& entry) {
@@ -215,20 +172,12 @@
     });
 }
 
-// Notes that an opening sent to a target at `sent` has stayed without an answer, while another target
-// answered it. A doubted target is dead then.
-auto note_silent_opening(forwarding_state& state, target_index index, time_ms sent, time_ms at) -> void {
-    auto& load = load_of(state, index);
-    if (++load.silent_opens >= suspect_after_opens) {
-        load.suspect_until = at + suspicion_ms(load.silent_opens);
+// Keeps what a sign did to the belief in a target, for the log and for its flows.
+auto note_suspicion(forwarding_state& state, target_index index, suspicion_change change, time_ms at)
+    -> void {
+    if (change == suspicion_change::suspect) {
         state.found_suspects.push_back(index);
-    }
-    if (load.doubted_since == time_ms{} || sent < load.doubted_since) {
-        return;
-    }
-    if (++load.silent_since_doubt >= dead_after_opens) {
-        load.doubted_since = {};
-        load.dead_until = at + dead_ms;
+    } else if (change == suspicion_change::dead) {
         state.found_dead.push_back(index);
         collect_dead_flows(state, index, at);
     }
@@ -240,9 +189,10 @@
     -> void {
     const auto answered = absl::c_find(flow.tried, index);
     if (answered != flow.tried.end()) {
-        note_answered_opening(load_of(state, index));
+        note_answered_opening(load_of(state, index), at);
         for (auto silent = flow.tried.begin(); silent != answered; ++silent) {
-            note_silent_opening(state, *silent, flow.opening_sent, at);
+            note_suspicion(state, *silent, note_silent_opening(state.known, *silent, flow.opening_sent, at),
+                           at);
         }
     }
     for (const auto tried : flow.tried) {
@@ -253,18 +203,10 @@
 
 // Notes that a flow is open at the target that its packets name.
 auto note_open(forwarding_state& state, flow_record& flow, target_index index, time_ms at) -> void {
-    if (flow.is_open && flow.target == index) {
-        return;
-    }
     if (flow.is_open) {
-        lower(load_of(state, flow.target).open_flows);
-        if (flow.is_busy) {
-            lower(load_of(state, flow.target).busy_flows);
-            flow.is_busy = false;
-        }
-    } else {
-        note_opening_answered(state, flow, index, at);
+        return;
     }
+    note_opening_answered(state, flow, index, at);
     flow.is_open = true;
     flow.target = index;
     auto& load = load_of(state, index);
@@ -287,17 +229,15 @@
     }
 }
 
-// Notes data of the client. Returns whether the target is believed dead.
-auto note_data(forwarding_state& state, flow_record& flow, const client_packet& packet, time_ms at) -> bool {
-    auto& load = load_of(state, flow.target);
+// Notes data of the client.
+auto note_data(forwarding_state& state, flow_record& flow, const client_packet& packet, time_ms at) -> void {
     const auto end = packet.sequence + packet.payload_bytes;
     if (!is_after(end, flow.highest_sequence)) {
-        const auto was_dead = at < load.dead_until;
-        note_retransmission(load, flow, at);
-        if (!was_dead && at < load.dead_until) {
+        const auto change = note_retransmission(state.known, flow.target, flow.stalled_epoch, at);
+        if (change == suspicion_change::dead) {
             state.found_dead.push_back(flow.target);
         }
-        return at < load.dead_until;
+        return;
     }
     flow.highest_sequence = end;
     if (!flow.is_busy) {
@@ -305,7 +245,14 @@
         flow.found_free_slot = busy_per_slot(state.known.targets[flow.target]) < 1;
         set_busy(state, flow, true, at);
     }
-    return at < load.dead_until;
+}
+
+// Whether data to a target believed dead ends its flow. A reset tells the client of a filing nothing: it may
+// have run.
+auto ends_with_silence(const client_packet& packet, const route_record& route, const target_load& load,
+                       time_ms at) -> bool {
+    return packet.payload_bytes != 0 && at < load.dead_until &&
+           route.entry.kind != request_kind::non_idempotent;
 }
 
 auto handle_unknown_carrier(forwarding_state& state, const client_packet& packet, packet_context context,
@@ -326,12 +273,16 @@
     return drop(packet_reason::unknown_carrier);
 }
 
-// Whether a packet to a target that is gone ends its flow. A target that left has ended its flows; one that
-// only fell silent may still live, cut off from the store, until its client retransmits.
-auto ends_with_target(const client_packet& packet, const target_record& target, bool is_retransmission)
-    -> bool {
-    return target.state == presence::gone && packet.payload_bytes != 0 &&
-           (target.has_left || is_retransmission);
+// Whether a packet to a target that is gone ends its flow. A target that left has ended its flows. One that
+// only fell silent may still live, cut off from the store: it is given up when a client retransmits, unless
+// it has answered since, and for requests that cannot be repeated not at all.
+auto ends_with_target(const client_packet& packet, const route_record& route, const target_record& target,
+                      bool is_retransmission, time_ms at) -> bool {
+    if (target.state != presence::gone || packet.payload_bytes == 0) {
+        return false;
+    }
+    return target.has_left || (is_retransmission && route.entry.kind != request_kind::non_idempotent &&
+                               !has_answered_since(target.load, target.changed_at, at));
 }
 
 auto handle_established(forwarding_state& state, const client_packet& packet, packet_context context,
@@ -369,6 +320,13 @@
         entry->second.acknowledgement = packet.acknowledgement;
     }
     auto& flow = entry->second;
+    if (flow.is_open && flow.target != index && !packet.is_rst) {
+        // Another flow from the same port, which opened through another host: nothing of the former holds.
+        release_flow(state, flow, at);
+        flow = flow_record{};
+        flow.highest_sequence = packet.sequence;
+        flow.acknowledgement = packet.acknowledgement;
+    }
     if (packet.is_rst) {
         // A reset of a second answer to an opening concerns its target alone.
         if (flow.is_open && flow.target == index) {
@@ -389,9 +347,11 @@
         set_busy(state, flow, false, at);
     }
     const auto had_sequence = flow.highest_sequence;
-    const auto looks_dead = packet.payload_bytes != 0 && note_data(state, flow, packet, at);
-    const auto is_left = ends_with_target(packet, target, had_sequence == flow.highest_sequence);
-    if (is_left || looks_dead) {
+    if (packet.payload_bytes != 0) {
+        note_data(state, flow, packet, at);
+    }
+    const auto is_left = ends_with_target(packet, *route, target, had_sequence == flow.highest_sequence, at);
+    if (is_left || ends_with_silence(packet, *route, target.load, at)) {
         release_flow(state, flow, at);
         state.flows.erase(entry);
         return refuse(is_left ? packet_reason::target_left : packet_reason::target_dead);
@@ -411,6 +371,9 @@
     if (!can_place(state.known)) {
         return drop(packet_reason::no_configuration);
     }
+    if (packet.is_syn && packet.is_ack) {
+        return drop(packet_reason::not_of_a_client);
+    }
     if (packet.is_syn && context.has_waited) {
         return drop(packet_reason::waited_opening);
     }
@@ -420,11 +383,9 @@
     return handle_established(state, packet, context, at);
 }
 
-auto note_pause(forwarding_state& state) -> void {
+auto note_pause(forwarding_state& state, time_ms at) -> void {
     state.pending.clear();
-    for (auto& target : state.known.targets) {
-        forget_stalls(target.load);
-    }
+    note_start_in_zone(state.known, at, at);
 }
 
 auto take_open_retries(forwarding_state& state, time_ms at) -> std::vector<open_retry> {
@@ -496,6 +457,8 @@
             return "target_dead";
         case packet_reason::no_carrier:
             return "no_carrier";
+        case packet_reason::not_of_a_client:
+            return "not_of_a_client";
     }
     return "unknown";
 }
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -25,27 +25,6 @@
 // Targets that one opening packet may be sent to by this host, copies of it included.
 constexpr std::size_t open_target_limit = 3;
 
-// Unanswered openings in a row that make a target a suspect, and for how long; doubled with each further one
-// up to the limit, since each trial of a target beyond a cut delays a client by open_timeout_ms.
-constexpr std::uint32_t suspect_after_opens = 2;
-constexpr std::int64_t suspect_ms = 800;
-constexpr std::int64_t suspect_limit_ms = 3200;
-
-// Flows that retransmit while no flow of the target makes progress, after which the target is doubted: the
-// next openings go to it, and if these stay unanswered, the target is taken for dead, for some time. Requests
-// of a live target under overload take as long as those of a dead one, but it answers openings.
-constexpr std::uint32_t doubted_after_flows = 3;
-constexpr std::int64_t dead_ms = 1000;
-
-// Signs of a stall that are older say nothing of now. A client retransmits with pauses of up to 1.6 s; the
-// first three pauses are shorter than this.
-constexpr std::int64_t stall_memory_ms = 1000;
-
-// Doubts in a row that openings ended, without progress of any flow, after which the target is taken for
-// hung: it answers openings and nothing else. Each takes several retransmissions, so they last for about a
-// second.
-constexpr std::uint32_t hung_after_doubts = 3;
-
 // A request without a sign of its response for this long no longer counts as in progress.
 constexpr std::int64_t busy_limit_ms = 1000;
 
@@ -79,6 +58,7 @@
     target_left,            // the flow's target has left
     target_dead,            // the flow's target does not answer any flow
     no_carrier,             // neither an opening packet nor a carrier
+    not_of_a_client,        // the answer of a target to an opening, which no client sends
 };
 
 // The outcome for one packet.
@@ -100,6 +80,8 @@
     bool is_open = false;          // a packet after the opening was seen
     bool is_busy = false;          // a request is in progress
     bool found_free_slot = false;  // that request, when it was sent
+    bool knows_opening = false;    // this host saw the opening packet, with `opening_sequence`
+    std::uint32_t opening_sequence = 0;
     time_ms last_packet;
     time_ms busy_since;
     time_ms opening_sent;  // for the first time
@@ -154,7 +136,7 @@
 
 // Notes that this host stood still. Silence during that time says nothing of targets: answers and
 // retransmissions went through other hosts or wait in the socket.
-auto note_pause(forwarding_state& state) -> void;
+auto note_pause(forwarding_state& state, time_ms at) -> void;
 
 // Returns the opening packets that got no answer in time, with the next target for each. All packets that
 // have arrived are to be handled before, or answers that wait in the socket look like silence.
--- a/src/edge/http.cpp
+++ b/src/edge/http.cpp
@@ -2,6 +2,7 @@
 #include <netinet/tcp.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http.hpp>
 #include <cerrno>
@@ -222,7 +223,7 @@
             return;
         }
         if (connections_.size() >= most_connections) {
-            continue;
+            close_longest_idle();
         }
         set_no_delay(fd);
         if (loop_.add(fd, EPOLLIN, [this, fd](std::uint32_t events) { on_ready(fd, events); })) {
@@ -231,6 +232,14 @@
     }
 }
 
+// Connections that are opened and send nothing must not keep others out.
+auto http_server::close_longest_idle() -> void {
+    const auto idle = std::min_element(
+        connections_.begin(), connections_.end(),
+        [](const auto& a, const auto& b) { return a.second.last_used < b.second.last_used; });
+    close(idle->first);
+}
+
 auto http_server::on_ready(int fd, std::uint32_t events) -> void {
     auto& peer = connections_.at(fd);
     peer.last_used = boot_now();
--- a/src/edge/http_base.h
+++ b/src/edge/http_base.h
@@ -90,6 +90,7 @@
     };
 
     auto accept_all() -> void;
+    auto close_longest_idle() -> void;
     auto on_ready(int fd, std::uint32_t events) -> void;
     auto answer_requests(connection& peer) -> bool;
     auto send_unsent(connection& peer) -> bool;
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -4,12 +4,17 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "core/cbor_func.h"
+#include "edge/suspicion_func.h"
+
 namespace agatepost::edge {
 
 namespace {
 
 using nlohmann::json;
 
+constexpr std::uint64_t largest_age_ms = 1ULL << 48U;
+
 constexpr auto never_ms = static_cast<std::int64_t>(std::numeric_limits<std::int32_t>::max());
 
 auto malformed() -> tl::unexpected<error> {
@@ -17,6 +22,16 @@
                       "check that all hosts run compatible versions");
 }
 
+auto is_u32(const json& value) -> bool {
+    return value.is_number_unsigned() &&
+           value.get<std::uint64_t>() <= std::numeric_limits<std::uint32_t>::max();
+}
+
+// Milliseconds that can be added up without overflow.
+auto is_age(const json& value) -> bool {
+    return value.is_number_unsigned() && value.get<std::uint64_t>() <= largest_age_ms;
+}
+
 auto take_back(peer_record& peer, directory& known) -> void {
     for (const auto& counted : peer.counted) {
         auto& target = known.targets[counted.target];
@@ -77,39 +92,43 @@
         loads.push_back(load.busy);
         loads.push_back(load.open);
     }
-    const auto message = json::array({beat.zone, beat.revision, beat.store_age_ms, beat.view_age_ms,
-                                      beat.is_leaving, beat.peers, std::move(loads)});
+    const auto message = json::array({beat.zone, beat.boot, beat.uptime_ms, beat.revision, beat.store_age_ms,
+                                      beat.view_age_ms, beat.is_leaving, beat.peers, std::move(loads)});
     auto bytes = std::string();
     json::to_cbor(message, bytes);
     return bytes;
 }
 
 auto decode_heartbeat(std::string_view bytes) -> result<heartbeat> {
-    const auto message = json::from_cbor(bytes, true, false);
-    constexpr std::size_t parts = 7;
-    if (!message.is_array() || message.size() != parts || !message[0].is_string() ||
-        !message[1].is_number_unsigned() || !message[2].is_number_integer() ||
-        !message[3].is_number_integer() || !message[4].is_boolean() || !message[5].is_array() ||
-        !message[6].is_array()) {
+    const auto message = read_cbor(bytes);
+    constexpr std::size_t parts = 9;
+    if (!message.is_array() || message.size() != parts || !message[0].is_string() || !is_u32(message[1]) ||
+        !is_age(message[2]) || !message[3].is_number_unsigned() ||
+        message[3].get<std::uint64_t>() > largest_revision || !is_age(message[4]) || !is_age(message[5]) ||
+        !message[6].is_boolean() || !message[7].is_array() || !message[8].is_array()) {
         return malformed();
     }
-    const auto is_number = [](const json& value) { return value.is_number_unsigned(); };
-    if (!std::all_of(message[5].begin(), message[5].end(), is_number) ||
-        !std::all_of(message[6].begin(), message[6].end(), is_number) || message[6].size() % 3 != 0) {
+    const auto& peers = message[7];
+    const auto& loads = message[8];
+    if (peers.size() > peers_named || loads.size() % 3 != 0 ||
+        !std::all_of(peers.begin(), peers.end(), is_u32) ||
+        !std::all_of(loads.begin(), loads.end(), is_u32)) {
         return malformed();
     }
     auto beat = heartbeat{};
     beat.zone = message[0].get<std::string>();
-    beat.revision = message[1].get<std::uint64_t>();
-    beat.store_age_ms = message[2].get<std::int64_t>();
-    beat.view_age_ms = message[3].get<std::int64_t>();
-    beat.is_leaving = message[4].get<bool>();
-    for (const auto& peer : message[5]) {
+    beat.boot = message[1].get<std::uint32_t>();
+    beat.uptime_ms = message[2].get<std::int64_t>();
+    beat.revision = message[3].get<std::uint64_t>();
+    beat.store_age_ms = message[4].get<std::int64_t>();
+    beat.view_age_ms = message[5].get<std::int64_t>();
+    beat.is_leaving = message[6].get<bool>();
+    for (const auto& peer : peers) {
         beat.peers.push_back(peer.get<std::uint32_t>());
     }
-    for (auto i = std::size_t{0}; i < message[6].size(); i += 3) {
-        beat.loads.push_back({message[6][i].get<std::uint32_t>(), message[6][i + 1].get<std::uint32_t>(),
-                              message[6][i + 2].get<std::uint32_t>()});
+    for (auto i = std::size_t{0}; i < loads.size(); i += 3) {
+        beat.loads.push_back({loads[i].get<std::uint32_t>(), loads[i + 1].get<std::uint32_t>(),
+                              loads[i + 2].get<std::uint32_t>()});
     }
     return beat;
 }
@@ -128,11 +147,18 @@
         return false;
     }
     for (const auto address : beat.peers) {
-        if (address != group.own_address && address != 0) {
+        const auto has_room = group.peers.size() < most_peers || group.peers.count(address) != 0;
+        if (address != group.own_address && address != 0 && has_room) {
             group.peers[address].named = at;
         }
     }
     auto& peer = group.peers[from];
+    if (peer.was_heard && peer.last.boot == beat.boot && beat.uptime_ms < peer.last.uptime_ms) {
+        return false;
+    }
+    if (beat.zone == group.zone) {
+        note_start_in_zone(known, at + -beat.uptime_ms, at);
+    }
     const auto is_new = !is_member(group, peer, at);
     take_back(peer, known);
     peer.last = std::move(beat);
@@ -270,7 +296,7 @@
     auto best_is_near = false;
     for (const auto& [address, peer] : group.peers) {
         const auto is_near = peer.last.zone == group.zone;
-        if (!is_alive(peer, at) || peer.last.revision <= revision) {
+        if (!is_alive(peer, at) || peer.last.revision <= revision || at < peer.distrusted_until) {
             continue;
         }
         if (!best ||
@@ -283,6 +309,13 @@
     return best;
 }
 
+auto distrust_peer(peer_group& group, std::uint32_t address, time_ms at) -> void {
+    const auto found = group.peers.find(address);
+    if (found != group.peers.end()) {
+        found->second.distrusted_until = at + distrust_ms;
+    }
+}
+
 auto told_view_age_ms(const peer_group& group, std::uint64_t revision, time_ms at) -> std::int64_t {
     auto age = never_ms;
     for (const auto& [address, peer] : group.peers) {
@@ -320,15 +353,17 @@
 }
 
 auto decode_changes(std::string_view bytes) -> result<peer_changes> {
-    const auto message = json::from_cbor(bytes, true, false);
+    const auto message = read_cbor(bytes);
     if (!message.is_array() || message.size() != 3 || !message[0].is_number_unsigned() ||
-        !message[1].is_boolean() || !message[2].is_array()) {
+        message[0].get<std::uint64_t>() > largest_revision || !message[1].is_boolean() ||
+        !message[2].is_array()) {
         return malformed();
     }
     auto changes = peer_changes{message[0].get<std::uint64_t>(), message[1].get<bool>(), {}};
     for (const auto& part : message[2]) {
         if (!part.is_array() || part.size() != 4 || !part[0].is_string() || !part[1].is_binary() ||
-            !part[2].is_number_unsigned() || !part[3].is_boolean()) {
+            !part[2].is_number_unsigned() || part[2].get<std::uint64_t>() > largest_revision ||
+            !part[3].is_boolean()) {
             return malformed();
         }
         const auto& value = part[1].get_binary();
--- a/src/edge/peer_group_base.h
+++ b/src/edge/peer_group_base.h
@@ -55,8 +55,16 @@
 constexpr std::int64_t takeover_step_ms = 100;
 constexpr std::int64_t takeover_limit_ms = 2000;
 
-// Addresses of other hosts named in one heartbeat.
+// Addresses of other hosts named in one heartbeat. A message with more, or with a revision beyond the limit,
+// is malformed: it would fill the memory, or make hosts ask its sender for ever.
 constexpr std::size_t peers_named = 16;
+constexpr std::uint64_t largest_revision = 1ULL << 53U;
+
+// How long a host is not asked for changes after it sent less than it had told, or no answer.
+constexpr std::int64_t distrust_ms = 2000;
+
+// Hosts remembered at most, above the size of the fleet designed for.
+constexpr std::size_t most_peers = 20000;
 
 // The store counts as reached by a host that had an answer within this time: a wait, and a lost answer
 // noticed.
@@ -76,6 +84,8 @@
 // What a host says of itself.
 struct heartbeat {
     std::string zone;
+    std::uint32_t boot = 0;         // drawn at its start: tells a start anew from a late message
+    std::int64_t uptime_ms = 0;     // since its start; grows within a boot
     std::uint64_t revision = 0;     // it knows all changes of the store up to here; 0: no whole listing yet
     std::int64_t store_age_ms = 0;  // since the store answered it, or a host of its zone with a lower address
     std::int64_t view_age_ms = 0;   // since what it knows was current
@@ -84,7 +94,8 @@
     std::vector<told_load> loads;
 
     friend auto operator==(const heartbeat& a, const heartbeat& b) -> bool {
-        return a.zone == b.zone && a.revision == b.revision && a.store_age_ms == b.store_age_ms &&
+        return a.zone == b.zone && a.boot == b.boot && a.uptime_ms == b.uptime_ms &&
+               a.revision == b.revision && a.store_age_ms == b.store_age_ms &&
                a.view_age_ms == b.view_age_ms && a.is_leaving == b.is_leaving && a.peers == b.peers &&
                a.loads == b.loads;
     }
@@ -102,7 +113,8 @@
 struct peer_record {
     heartbeat last;
     time_ms heard;
-    time_ms named;  // by a host that had heard it shortly before
+    time_ms named;             // by a host that had heard it shortly before
+    time_ms distrusted_until;  // it is not asked for changes before this time
     bool was_heard = false;
     std::vector<counted_load> counted;
 };
@@ -117,8 +129,8 @@
 auto encode_heartbeat(const heartbeat& beat) -> std::string;
 auto decode_heartbeat(std::string_view bytes) -> result<heartbeat>;
 
-// Notes a heartbeat: the sender, hosts that it names, and the loads that it tells. Returns whether the sender
-// is new or was silent.
+// Notes a heartbeat: the sender, hosts that it names, and the loads that it tells. One that was overtaken by
+// a later one of the same boot is ignored. Returns whether the sender is new or was silent.
 auto note_heartbeat(peer_group& group, directory& known, std::uint32_t from, heartbeat&& beat, time_ms at)
     -> bool;
 
@@ -157,6 +169,10 @@
 // Returns the living host that knows the newest revision above `revision`, hosts of the own zone first.
 auto newest_peer(const peer_group& group, std::uint64_t revision, time_ms at) -> std::optional<std::uint32_t>;
 
+// Notes that a host sent an older revision than it had told, or no answer: for a while others are asked,
+// which may know more than the store's true revision lets it know.
+auto distrust_peer(peer_group& group, std::uint32_t address, time_ms at) -> void;
+
 // Milliseconds since what this host knows was current, by what living hosts with no newer revision say; a
 // large number if none does.
 auto told_view_age_ms(const peer_group& group, std::uint64_t revision, time_ms at) -> std::int64_t;
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "core/log_func.h"
+
 namespace agatepost::edge {
 
 namespace {
@@ -59,6 +61,7 @@
 }
 
 auto store_follower::watch(time_ms at) -> void {
+    asked_revision_ = known_.revision;
     client_.call(store_, known_.platform->watch_request(known_.revision, watch_wait_ms),
                  at + watch_wait_ms + store_answer_limit_ms,
                  [this](result<http_answer> answer) { on_answer(std::move(answer), false); });
@@ -130,6 +133,16 @@
 }
 
 auto store_follower::on_watch_page(const store_page& page, time_ms at) -> void {
+    if (page.revision < asked_revision_) {
+        // The store's answers are linearizable, so it never had the revision that another host told.
+        write_log(log_event::revision_false,
+                  {{"known", std::to_string(asked_revision_)}, {"store", std::to_string(page.revision)}});
+        distrust_revisions(known_, page.revision);
+        must_list_ = true;
+        list_after_.clear();
+        next_call_ = at;
+        return;
+    }
     apply(page, at);
     const auto is_newer = page.revision > known_.revision;
     known_.revision = std::max(known_.revision, page.revision);
--- a/src/edge/store_follower_base.h
+++ b/src/edge/store_follower_base.h
@@ -85,6 +85,7 @@
     // Of the listing in progress.
     std::string list_after_;
     std::uint64_t list_revision_ = 0;
+    std::uint64_t asked_revision_ = 0;  // of the watch in progress
     absl::flat_hash_map<std::string, bool> listed_;
 };
 
--- a/src/peer/datagram.cpp
+++ b/src/peer/datagram.cpp
@@ -1,6 +1,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include "core/cbor_func.h"
 #include "core/clock_type.h"
 #include "peer/datagram_base.h"
 
@@ -65,7 +66,7 @@
         count(payload.error());
         return std::nullopt;
     }
-    auto message = nlohmann::json::from_cbor(*payload, true, false);
+    auto message = read_cbor(*payload);
     if (message.is_discarded()) {
         count(counter::drop_peer_message);
         return std::nullopt;
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -11,6 +11,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "core/cbor_func.h"
 #include "core/clock_type.h"
 #include "core/counter_func.h"
 #include "core/log_func.h"
@@ -239,7 +240,7 @@
     }
 
     auto receive_hello(const std::string& frame) -> void {
-        const auto hello = nlohmann::json::from_cbor(frame);
+        const auto hello = read_cbor(frame);
         const auto name = hello.at("n").get<std::string>();
         const auto peer = parse_endpoint(hello.at("p").get<std::string>());
         const auto is_expected = !is_outgoing_ || name == this->name();
@@ -278,7 +279,7 @@
             }
         }
         ++received_;
-        const auto message = nlohmann::json::from_cbor(payload);
+        const auto message = read_cbor(payload);
         const auto type = message.at("y").get<std::string>();
         if (!is_proven_) {
             if (type != "proof") {
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -84,6 +84,8 @@
 COUNTER(edge_target_left, "one-way path: reset, the target of the flow has left")
 COUNTER(edge_target_dead, "one-way path: reset, no flow of the target makes progress")
 COUNTER(edge_no_carrier, "one-way path: dropped, neither an opening packet nor a carrier")
+COUNTER(edge_not_of_a_client, "one-way path: dropped, an answer to an opening that no client sends")
 COUNTER(edge_send_failed, "one-way path: dropped, the socket did not take the packet")
+COUNTER(edge_handler_failures, "one-way path: events whose handling an unexpected error ended")
 COUNTER(edge_store_failures, "one-way path: times that the store was lost")
 COUNTER(edge_log_lines_dropped, "log lines dropped because standard output was full")
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -42,4 +42,6 @@
 LOG_EVENT(623, target_gone, info, "a target left or died")
 LOG_EVENT(624, target_suspected, warning, "a target does not answer opening packets, or no flow of it makes progress")
 LOG_EVENT(625, item_unreadable, warning, "an item of the store cannot be read")
+LOG_EVENT(627, revision_false, warning, "another host told a revision that the store never had; everything is listed anew")
+LOG_EVENT(628, handler_failed, error, "an unexpected error ended the handling of one event; the host goes on")
 LOG_EVENT(626, log_lines_dropped, warning, "standard output was full; lines were dropped")
--- a/tests/edge_forwarding_test.cpp
+++ b/tests/edge_forwarding_test.cpp
@@ -3,6 +3,7 @@
 
 #include <set>
 
+#include "edge/suspicion_func.h"
 #include "edge_test_func.h"
 
 namespace agatepost::edge {
@@ -491,7 +492,7 @@
             handle_packet(state, data(port, carrier, 0), current_view, at);
         }
         at = at + 3000;
-        note_pause(state);
+        note_pause(state, at);
         for (const auto context : {after_a_pause, current_view}) {
             for (auto port = std::uint16_t{1}; port <= 4; ++port) {
                 const auto verdict = handle_packet(state, data(port, carrier, 0), context, at);
@@ -506,7 +507,7 @@
         for (auto port = std::uint16_t{1}; port <= 6; ++port) {
             handle_packet(state, opening(port), current_view, test_start);
         }
-        note_pause(state);
+        note_pause(state, test_start);
         CPPUNIT_ASSERT(take_open_retries(state, test_start + 3000).empty());
         for (const auto* name : {"i-1", "i-2"}) {
             CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, load(state, name).silent_opens);
