--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -9,6 +9,7 @@
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <iostream>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -83,6 +84,15 @@
     return number >= first && number <= last;
 }
 
+// How many lines of an event are written in a window. A reset of an open flow is a fault until its line
+// explains it.
+auto lines_per_window(log_event event) -> std::uint32_t {
+    if (event == log_event::flow_reset) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    return is_flow_event(event) ? flow_log_lines_per_window : log_lines_per_window;
+}
+
 // The lines are complete before Boost.Log gets them, so its sink writes the message alone.
 auto ensure_sink() -> void {
     static const auto sink = boost::log::add_console_log(
@@ -164,8 +174,7 @@
     auto& shared = state();
     const auto lock = std::lock_guard<std::mutex>(shared.mutex);
     const auto number = static_cast<std::uint16_t>(event);
-    const auto lines = is_flow_event(event) ? flow_log_lines_per_window : log_lines_per_window;
-    const auto left_out = shared.limit.admit(number, now(), lines);
+    const auto left_out = shared.limit.admit(number, now(), lines_per_window(event));
     if (left_out) {
         auto all = std::vector<log_field>(fields);
         if (*left_out != 0) {
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -33,6 +33,7 @@
 constexpr std::int64_t stop_reserve_ms = 1500;  // before the platform kills the process
 
 constexpr std::int64_t expire_interval_ms = 500;
+constexpr std::int64_t unsettled_expire_interval_ms = 50;  // after starts in the zone
 constexpr std::int64_t log_interval_ms = 100;
 constexpr std::int64_t stood_still_ms = 1000;
 constexpr std::int64_t sync_limit_ms = 1000;
@@ -126,7 +127,10 @@
     auto handle_one(packet_buffer& buffer, time_ms at, std::int64_t view_age) -> void;
     auto forward(packet_buffer& buffer, const client_packet& packet, const packet_verdict& verdict) -> void;
     auto send_reset(const client_packet& packet) -> void;
+    auto keep_opening_bytes(packet_buffer& buffer, const client_packet& packet) -> void;
+    auto queue_opening(const open_retry& opening, std::size_t slot) -> void;
     auto send_retries(time_ms at) -> void;
+    auto send_waited(const std::vector<waited_opening>& waited) -> void;
     auto note_silent_targets(time_ms at) -> void;
     auto reset_dead_flows(time_ms at) -> void;
     auto handle_heartbeats() -> void;
@@ -143,17 +147,19 @@
     auto expire(time_ms at) -> void;
     auto reload(const settings_reader& read_settings) -> void;
     auto note_ready() -> void;
+    auto note_reach(time_ms at) -> void;
     auto read_packets_when_useful(time_ms at) -> void;
     // Whether hosts of a zone that come and go are logged. In a large fleet, hosts of other zones are heard
     // by chance.
     auto is_watched(const std::string& zone) const -> bool {
         return zone == settings_.zone || !is_large_fleet(group_);
     }
-    auto is_ready() const -> bool { return can_place(state_.known) && !is_stopping_; }
+    auto is_ready() const -> bool { return can_place(state_.known) && !is_stopping_ && !was_cut_off_; }
     auto view_age_ms(time_ms at) -> std::int64_t;
     auto take_turn(time_ms at) -> void;
     auto next_time(time_ms at) const -> time_ms;
     auto may_stop(time_ms at) const -> bool;
+    auto finish_packets(time_ms at) -> void;
     auto answer_ready(std::string_view target) -> http_answer;
     auto answer_sync(std::string_view target) -> http_answer;
     auto answer_metrics(std::string_view target) -> http_answer;
@@ -175,6 +181,7 @@
     std::vector<std::array<std::uint8_t, forward_prefix_bytes + bare_packet_bytes>> openings_;
     bool is_stopping_ = false;
     bool was_ready_ = false;
+    bool was_cut_off_ = false;
     bool reads_packets_ = false;
     bool packets_waited_ = false;  // those in the socket, while this host stood still
     bool loads_changed_ = false;
@@ -284,17 +291,15 @@
         forward(buffer, *packet, verdict);
     } else if (verdict.action == packet_action::reset) {
         send_reset(*packet);
+    } else if (verdict.action == packet_action::hold) {
+        keep_opening_bytes(buffer, *packet);
     }
 }
 
 auto edge_host::forward(packet_buffer& buffer, const client_packet& packet, const packet_verdict& verdict)
     -> void {
     const auto& target = state_.known.targets[verdict.target].entry;
-    auto& pending = state_.pending;
-    if (packet.is_syn && buffer.size == bare_packet_bytes && !pending.empty() &&
-        pending.back().flow == packet.flow) {
-        std::copy_n(buffer.packet(), bare_packet_bytes, pending.back().packet.begin());
-    }
+    keep_opening_bytes(buffer, packet);
     platform_.write_prefix(buffer.bytes.data(), target.tag);
     if (verdict.writes_carrier) {
         platform_.write_carrier(buffer.packet(), target.carrier);
@@ -302,6 +307,16 @@
     packets_.queue(buffer.bytes.data(), forward_prefix_bytes + buffer.size, target.address, target.port);
 }
 
+// Keeps an opening packet as the client sent it, for when it is sent to another target or has waited.
+auto edge_host::keep_opening_bytes(packet_buffer& buffer, const client_packet& packet) -> void {
+    if (!packet.is_syn || buffer.size != bare_packet_bytes) {
+        return;
+    }
+    auto bytes = opening_packet{};
+    std::copy_n(buffer.packet(), bare_packet_bytes, bytes.begin());
+    keep_opening(state_, packet.flow, bytes);
+}
+
 auto edge_host::send_reset(const client_packet& packet) -> void {
     resets_.reserve(packet_batch);  // queued bytes must not move
     auto& bytes = resets_.emplace_back();
@@ -309,6 +324,44 @@
     packets_.queue(bytes.data(), bytes.size(), packet.flow.client_address, settings_.data_address.port);
 }
 
+// Writes an opening packet for its target into one of `openings_`, and queues it.
+auto edge_host::queue_opening(const open_retry& opening, std::size_t slot) -> void {
+    const auto& target = state_.known.targets[opening.target].entry;
+    auto& bytes = openings_[slot];
+    platform_.write_prefix(bytes.data(), target.tag);
+    std::copy(opening.packet.begin(), opening.packet.end(), bytes.begin() + forward_prefix_bytes);
+    platform_.write_carrier(bytes.data() + forward_prefix_bytes, target.carrier);
+    packets_.queue(bytes.data(), bytes.size(), target.address, target.port);
+}
+
+// Sends the openings whose wait has ended to their targets, and resets those that nothing could take.
+auto edge_host::send_waited(const std::vector<waited_opening>& waited) -> void {
+    openings_.resize(waited.size());
+    for (auto i = std::size_t{0}; i < waited.size(); ++i) {
+        const auto is_placed = waited[i].reason == packet_reason::opened;
+        count_verdict(
+            {is_placed ? packet_action::forward : packet_action::reset, waited[i].reason, 0, false, true});
+        log_waited(state_, waited[i]);
+        if (is_placed) {
+            queue_opening(waited[i].opening, i);
+            continue;
+        }
+        auto packet = client_packet{};
+        packet.flow = waited[i].opening.flow;
+        packet.is_syn = true;
+        send_reset(packet);
+        if (resets_.size() == packet_batch) {
+            packets_.send_all();
+            resets_.clear();
+        }
+    }
+    if (!waited.empty()) {
+        packets_.send_all();
+        resets_.clear();
+        loads_changed_ = true;
+    }
+}
+
 auto edge_host::send_retries(time_ms at) -> void {
     if (state_.pending.empty() || at < state_.pending.front().deadline) {
         return;
@@ -322,12 +375,7 @@
     }
     openings_.resize(retries.size());
     for (auto i = std::size_t{0}; i < retries.size(); ++i) {
-        const auto& target = state_.known.targets[retries[i].target].entry;
-        auto& bytes = openings_[i];
-        platform_.write_prefix(bytes.data(), target.tag);
-        std::copy(retries[i].packet.begin(), retries[i].packet.end(), bytes.begin() + forward_prefix_bytes);
-        platform_.write_carrier(bytes.data() + forward_prefix_bytes, target.carrier);
-        packets_.queue(bytes.data(), bytes.size(), target.address, target.port);
+        queue_opening(retries[i], i);
         count(counter::edge_open_retried);
         log_retry(state_, retries[i]);
     }
@@ -386,6 +434,7 @@
             continue;
         }
         const auto sender = ntohl(from.sin_addr.s_addr);
+        state_.reach.last_peer = at;
         const auto zone = beat->zone;
         if (note_heartbeat(group_, state_.known, sender, std::move(*beat), at)) {
             if (is_watched(zone)) {
@@ -572,7 +621,8 @@
     if (at < next_expiry_) {
         return;
     }
-    next_expiry_ = at + expire_interval_ms;
+    next_expiry_ =
+        at + (at < state_.known.unsettled_until ? unsettled_expire_interval_ms : expire_interval_ms);
     const auto idle = state_.known.idle_timeout_ms > 0 ? state_.known.idle_timeout_ms : settings_.max_flow_ms;
     expire_flows(state_, idle, at);
     for (const auto& name : expire_targets(state_.known, settings_.max_flow_ms, at)) {
@@ -614,6 +664,15 @@
     }
 }
 
+auto edge_host::note_reach(time_ms at) -> void {
+    const auto is_cut = is_cut_off(state_.reach, at);
+    if (is_cut != was_cut_off_) {
+        was_cut_off_ = is_cut;
+        write_log(is_cut ? log_event::targets_out_of_reach : log_event::targets_in_reach,
+                  {{"silent_openings", std::to_string(state_.reach.silent_openings)}});
+    }
+}
+
 auto edge_host::read_packets_when_useful(time_ms at) -> void {
     if (reads_packets_ || (!can_place(state_.known) && at - started_ < hold_packets_ms)) {
         return;
@@ -635,6 +694,9 @@
     if (!state_.pending.empty()) {
         next = std::min(next, state_.pending.front().deadline);
     }
+    if (count_waiting(state_.queues) != 0) {
+        next = std::min(next, at + waiting_check_ms);
+    }
     if (sync_client_.is_busy()) {
         next = std::min(next, sync_client_.deadline());
     }
@@ -646,20 +708,28 @@
         return false;
     }
     const auto stopping_ms = at - stop_began_;
-    const auto is_idle = at - last_packet_ >= quiet_ms;
+    const auto is_idle = at - last_packet_ >= quiet_ms && count_waiting(state_.queues) == 0;
     return (stopping_ms >= rotation_ms && is_idle) ||
            stopping_ms >= settings_.stop_limit_ms - stop_reserve_ms;
 }
 
+// Forwards what is still in the socket, and refuses what waits: nobody else knows of it.
+auto edge_host::finish_packets(time_ms at) -> void {
+    handle_packets();
+    send_waited(refuse_waiting_openings(state_, at));
+}
+
 // Does what is due, apart from what sockets ask for.
 auto edge_host::take_turn(time_ms at) -> void {
     send_retries(at);
+    send_waited(take_waited_openings(state_, at));
     consult_peers(at);
     follower_.on_time(at);
     send_heartbeats(at);
     tell_loads(at);
     expire(at);
     note_ready();
+    note_reach(at);
     read_packets_when_useful(at);
     if (at >= next_log_) {
         next_log_ = at + log_interval_ms;
@@ -689,7 +759,7 @@
             reload(read_settings);
         }
         if (may_stop(at)) {
-            run_guarded([&] { handle_packets(); });
+            run_guarded([&] { finish_packets(at); });
             break;
         }
         run_guarded([&] { take_turn(at); });
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -27,6 +27,10 @@
             return counter::edge_stale_route;
         case packet_reason::no_target:
             return counter::edge_no_target;
+        case packet_reason::cut_off:
+            return counter::edge_cut_off;
+        case packet_reason::waits_for_target:
+            return counter::edge_waits_for_target;
         case packet_reason::overloaded:
             return counter::edge_overloaded;
         case packet_reason::unknown_carrier:
@@ -47,15 +51,17 @@
     return counter::edge_malformed;
 }
 
-auto event_of(const packet_verdict& verdict) -> log_event {
+auto event_of(const packet_verdict& verdict, bool is_opening) -> log_event {
     switch (verdict.action) {
         case packet_action::forward:
             return verdict.reason == packet_reason::opened ? log_event::flow_opened
                                                            : log_event::flow_open_retried;
         case packet_action::reset:
-            return log_event::flow_refused;
+            return is_opening ? log_event::flow_refused : log_event::flow_reset;
         case packet_action::drop:
             return log_event::flow_packet_dropped;
+        case packet_action::hold:
+            return log_event::flow_waits;
     }
     return log_event::flow_packet_dropped;
 }
@@ -104,37 +110,57 @@
 auto log_verdict(const forwarding_state& state, const client_packet& packet, const packet_verdict& verdict,
                  std::int64_t view_age_ms) -> void {
     const auto version = std::to_string(state.known.configuration_version);
-    if (verdict.reason == packet_reason::overloaded) {
+    if (verdict.reason == packet_reason::overloaded || verdict.reason == packet_reason::waits_for_target) {
         const auto& target = state.known.targets[verdict.target];
         const auto route =
             state.known.routes.find(route_key(packet.flow.service_address, packet.flow.service_port));
-        const auto request_ms = route == state.known.routes.end() ? 0.0 : route->second.request_ms;
-        write_log(event_of(verdict), {{"flow", flow_text(packet.flow)},
-                                      {"reason", std::string(to_text(verdict.reason))},
-                                      {"least_busy", target.entry.name},
-                                      {"load", load_text(target.load)},
-                                      {"slots", std::to_string(target.entry.slots)},
-                                      {"request_ms", absl::StrCat(request_ms)},
-                                      {"version", version}});
+        const auto request_ms = route == state.known.routes.end() ? 0.0 : expected_request_ms(route->second);
+        write_log(event_of(verdict, packet.is_syn), {{"flow", flow_text(packet.flow)},
+                                                     {"reason", std::string(to_text(verdict.reason))},
+                                                     {"least_busy", target.entry.name},
+                                                     {"load", load_text(target.load)},
+                                                     {"slots", std::to_string(target.entry.slots)},
+                                                     {"request_ms", absl::StrCat(request_ms)},
+                                                     {"version", version}});
         return;
     }
     if (verdict.action != packet_action::forward) {
-        write_log(event_of(verdict), {{"flow", flow_text(packet.flow)},
-                                      {"reason", std::string(to_text(verdict.reason))},
-                                      {"carrier", absl::StrCat(absl::Hex(packet.carrier))},
-                                      {"version", version},
-                                      {"revision", std::to_string(state.known.revision)},
-                                      {"view_age_ms", std::to_string(view_age_ms)}});
+        write_log(event_of(verdict, packet.is_syn), {{"flow", flow_text(packet.flow)},
+                                                     {"reason", std::string(to_text(verdict.reason))},
+                                                     {"carrier", absl::StrCat(absl::Hex(packet.carrier))},
+                                                     {"version", version},
+                                                     {"revision", std::to_string(state.known.revision)},
+                                                     {"view_age_ms", std::to_string(view_age_ms)}});
         return;
     }
     const auto& target = state.known.targets[verdict.target];
-    write_log(event_of(verdict), {{"flow", flow_text(packet.flow)},
-                                  {"target", target.entry.name},
-                                  {"target_zone", target.entry.zone},
-                                  {"target_revision", std::to_string(target.revision)},
-                                  {"load", load_text(target.load)},
-                                  {"version", version},
-                                  {"view_age_ms", std::to_string(view_age_ms)}});
+    write_log(event_of(verdict, packet.is_syn), {{"flow", flow_text(packet.flow)},
+                                                 {"target", target.entry.name},
+                                                 {"target_zone", target.entry.zone},
+                                                 {"target_revision", std::to_string(target.revision)},
+                                                 {"load", load_text(target.load)},
+                                                 {"version", version},
+                                                 {"view_age_ms", std::to_string(view_age_ms)}});
+}
+
+auto log_waited(const forwarding_state& state, const waited_opening& waited) -> void {
+    const auto waited_ms = std::to_string(waited.waited_ms);
+    const auto version = std::to_string(state.known.configuration_version);
+    if (waited.reason != packet_reason::opened) {
+        write_log(log_event::flow_refused, {{"flow", flow_text(waited.opening.flow)},
+                                            {"reason", std::string(to_text(waited.reason))},
+                                            {"waited_ms", waited_ms},
+                                            {"version", version}});
+        return;
+    }
+    const auto& target = state.known.targets[waited.opening.target];
+    write_log(log_event::flow_opened, {{"flow", flow_text(waited.opening.flow)},
+                                       {"target", target.entry.name},
+                                       {"target_zone", target.entry.zone},
+                                       {"target_revision", std::to_string(target.revision)},
+                                       {"load", load_text(target.load)},
+                                       {"waited_ms", waited_ms},
+                                       {"version", version}});
 }
 
 auto log_dead(const target_record& target) -> void {
--- a/src/edge/explain_log.cpp
+++ b/src/edge/explain_log.cpp
@@ -33,6 +33,8 @@
 auto cause_of_refusal(const explained_line& line) -> std::string {
     static const auto causes = std::map<std::string, std::string>{
         {"no_target", "no target of the service takes flows: refused under load or with all targets away"},
+        {"cut_off",
+         "the host reached no target; it has not run, and the next try may come through another host"},
         {"overloaded", "no target of the service would have answered in time; it has not run"},
         {"unknown_route", "the configuration in force has no route for this address"},
         {"unknown_carrier_reset",
@@ -66,7 +68,7 @@
                "(look for the field left_out, and for hosts that stopped)";
     }
     for (const auto& line : of_flow) {
-        if (line.event == "flow_refused") {
+        if (line.event == "flow_refused" || line.event == "flow_reset") {
             return cause_of_refusal(line);
         }
     }
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -1,6 +1,7 @@
 #include <absl/algorithm/container.h>
 
 #include <algorithm>
+#include <optional>
 #include <tl/expected.hpp>
 
 #include "edge/forwarding_base.h"
@@ -37,6 +38,13 @@
     }
 }
 
+// Takes an opening out of the counts of the first `count` targets that got it.
+auto release_tried(forwarding_state& state, flow_record& flow, std::size_t count) -> void {
+    for (; flow.given_up < count && flow.given_up < flow.tried.size(); ++flow.given_up) {
+        lower(load_of(state, flow.tried[flow.given_up]).pending_opens);
+    }
+}
+
 // Takes a flow out of the counts of its target.
 auto release_flow(forwarding_state& state, flow_record& flow, time_ms at) -> void {
     if (flow.is_open) {
@@ -44,9 +52,7 @@
         lower(load_of(state, flow.target).open_flows);
         return;
     }
-    for (const auto index : flow.tried) {
-        lower(load_of(state, index).pending_opens);
-    }
+    release_tried(state, flow, flow.tried.size());
 }
 
 auto note_closed(forwarding_state& state, const flow_key& key, const flow_record& flow) -> void {
@@ -88,10 +94,10 @@
     if (!target) {
         return tl::unexpected(packet_reason::no_target);
     }
-    if (may_refuse && !is_in_time(route, state.known.targets[*target])) {
+    if (may_refuse && !is_in_time(route, state.known.targets[*target], at)) {
         // The choice weighs more than requests in progress. One with fewer of them may be in time.
         target = least_busy_target(state.known, *service, at).value_or(*target);
-        if (!is_in_time(route, state.known.targets[*target])) {
+        if (!is_in_time(route, state.known.targets[*target], at)) {
             flow.target = *target;
             return tl::unexpected(packet_reason::overloaded);
         }
@@ -113,6 +119,81 @@
     return flow.highest_sequence - (packet.sequence + 1) < most_request_bytes;
 }
 
+// Whether a route loses nothing while another of its service can be refused.
+auto goes_first(const route_record& route) -> bool {
+    return route.is_urgent && route.has_lower;
+}
+
+auto queue_of(forwarding_state& state, const route_record& route) -> service_queue& {
+    return state.queues[route.entry.backends.front().service];
+}
+
+// Slots of the targets that this host may send openings of the route to, before others do.
+auto slots_in_reach(const forwarding_state& state, const route_record& route) -> std::uint32_t {
+    auto slots = std::uint32_t{0};
+    const auto members = state.known.by_service.find(route.entry.backends.front().service);
+    if (members == state.known.by_service.end()) {
+        return 0;
+    }
+    for (const auto index : members->second) {
+        const auto& target = state.known.targets[index];
+        slots += target.entry.zone == state.zone && !target.is_dealt_elsewhere ? target.entry.slots : 0;
+    }
+    return slots;
+}
+
+// Forwards an opening to the target that was placed for it, and waits for the flow's next packet.
+auto send_opening(forwarding_state& state, const client_packet& packet, target_index target, time_ms at)
+    -> packet_verdict {
+    const auto tried = state.flows[packet.flow].tried.size();
+    // Only a bare opening can be sent again: its bytes are all that is kept.
+    if (packet.payload_bytes == 0) {
+        state.pending.push_back({packet.flow, at + open_timeout_ms, tried, {}});
+    }
+    return {packet_action::forward, tried == 1 ? packet_reason::opened : packet_reason::open_retried, target,
+            true, true};
+}
+
+// Decides on an opening that no target would answer in time, or that others go before.
+auto handle_pressure(forwarding_state& state, const client_packet& packet, const route_record& route,
+                     flow_record& flow, time_ms at) -> packet_verdict {
+    auto& queue = queue_of(state, route);
+    note_pressure(queue, state.known.unsettled_until, at);
+    const auto request = admission_request{route.entry.priority,       goes_first(route),
+                                           packet.acknowledgement,     route.entry.timeout_ms,
+                                           expected_request_ms(route), slots_in_reach(state, route),
+                                           count_waiting(state.queues)};
+    auto decision = admit(queue, request, at);
+    if (decision == admission::wait && packet.payload_bytes != 0) {
+        decision = admission::place;
+    }
+    if (decision == admission::wait) {
+        flow.is_waiting = true;
+        queue.waiting[route.entry.priority].push_back(
+            {packet.flow, at, at + patience_ms(request), packet.acknowledgement != 0, opening_packet{}});
+        return {packet_action::hold, packet_reason::waits_for_target, flow.target, false, true};
+    }
+    if (decision == admission::place) {
+        if (const auto target = place(state, route, flow, false, at)) {
+            return send_opening(state, packet, *target, at);
+        }
+    }
+    auto verdict = refuse(packet_reason::overloaded);
+    verdict.target = flow.target;
+    state.flows.erase(packet.flow);
+    return verdict;
+}
+
+// Notes that a route is used, by an opening or an answered request.
+auto note_use(forwarding_state& state, route_record& route) -> void {
+    ++route.requests;
+    const auto times = route.requests / route_in_use_requests;
+    const auto is_doubled = times != 0 && (times & (times - 1)) == 0;
+    if (route.requests % route_in_use_requests == 0 && is_doubled) {
+        find_urgent_routes(state.known);
+    }
+}
+
 auto handle_open(forwarding_state& state, const client_packet& packet, packet_context context, time_ms at)
     -> packet_verdict {
     auto* route = find_route(state.known, packet.flow);
@@ -128,35 +209,119 @@
         release_flow(state, flow, at);
         flow = flow_record{};
     }
-    const auto is_first = flow.tried.empty();
     flow.last_packet = at;
+    if (is_cut_off(state.reach, at) && !takes_probe(state.reach, at)) {
+        release_flow(state, flow, at);
+        state.flows.erase(packet.flow);
+        return refuse(packet_reason::cut_off);
+    }
+    if (flow.is_waiting) {
+        return {packet_action::drop, packet_reason::waits_for_target, flow.target, false, false};
+    }
+    const auto is_first = flow.tried.empty();
     flow.highest_sequence = packet.sequence + 1;
     flow.knows_opening = true;
     flow.opening_sequence = packet.sequence;
     if (is_first) {
         flow.opening_sent = at;
+        flow.attempt_began = at + -copy_age_ms(packet.acknowledgement);
+        note_use(state, *route);
+        if (waiting_before(queue_of(state, *route), route->entry.priority, goes_first(*route), at) != 0) {
+            return handle_pressure(state, packet, *route, flow, at);
+        }
     }
-    // A copy (its acknowledgement counts them) may follow an opening that a target took through another host.
-    const auto may_refuse = is_first && packet.acknowledgement == 0;
     auto refusal = packet_reason::no_target;
     if (flow.tried.size() < open_target_limit) {
-        if (const auto target = place(state, *route, flow, may_refuse, at)) {
-            state.pending.push_back({packet.flow, at + open_timeout_ms, {}});
-            return {packet_action::forward, is_first ? packet_reason::opened : packet_reason::open_retried,
-                    *target, true, true};
+        if (const auto target = place(state, *route, flow, is_first, at)) {
+            return send_opening(state, packet, *target, at);
         } else {
             refusal = target.error();
         }
     }
+    if (is_first && refusal == packet_reason::overloaded) {
+        return handle_pressure(state, packet, *route, flow, at);
+    }
     if (is_first) {
-        auto verdict = refuse(refusal);
-        verdict.target = flow.target;
         state.flows.erase(packet.flow);
-        return verdict;
+        return refuse(refusal);
     }
     return {packet_action::forward, packet_reason::open_retried, flow.target, true, true};
 }
 
+// Ends the wait of an opening, if it can be placed or its time is up. Nothing if it goes on waiting.
+auto end_wait(forwarding_state& state, const waiting_opening& waiting, time_ms at)
+    -> std::optional<waited_opening> {
+    auto& flow = state.flows[waiting.flow];
+    const auto* route = find_route(state.known, waiting.flow);
+    auto done =
+        waited_opening{{waiting.flow, 0, waiting.packet}, packet_reason::opened, at - waiting.arrived};
+    if (route == nullptr) {
+        done.reason = packet_reason::unknown_route;
+        return done;
+    }
+    if (is_cut_off(state.reach, at)) {
+        done.reason = packet_reason::cut_off;
+        return done;
+    }
+    const auto is_over = at >= waiting.give_up;
+    auto target = place(state, *route, flow, true, at);
+    if (!target && target.error() == packet_reason::overloaded && is_over &&
+        (waiting.is_copy || goes_first(*route))) {
+        target = place(state, *route, flow, false, at);
+    }
+    if (target) {
+        done.opening.target = *target;
+        return done;
+    }
+    if (target.error() == packet_reason::overloaded && !is_over) {
+        return std::nullopt;
+    }
+    done.opening.target = flow.target;
+    done.reason = target.error();
+    return done;
+}
+
+// Takes the openings of a queue whose wait ends now. Those behind one that cannot be placed wait on.
+auto take_from_queue(forwarding_state& state, service_queue& queue, time_ms at,
+                     std::vector<waited_opening>& taken) -> void {
+    auto can_place_more = true;
+    for (auto& [priority, openings] : queue.waiting) {
+        for (auto i = openings.begin(); i != openings.end();) {
+            const auto found = state.flows.find(i->flow);
+            const auto is_waiting = found != state.flows.end() && found->second.is_waiting;
+            if (is_waiting && !can_place_more && at < i->give_up && !is_cut_off(state.reach, at)) {
+                ++i;
+                continue;
+            }
+            if (is_waiting) {
+                auto done = end_wait(state, *i, at);
+                if (!done) {
+                    can_place_more = false;
+                    note_pressure(queue, state.known.unsettled_until, at);
+                    ++i;
+                    continue;
+                }
+                taken.push_back(std::move(*done));
+            }
+            i = openings.erase(i);
+        }
+    }
+}
+
+// Notes the outcome for the flow of an opening that has waited.
+auto finish_wait(forwarding_state& state, const waited_opening& done, time_ms at) -> void {
+    const auto& opening = done.opening;
+    if (done.reason != packet_reason::opened) {
+        state.flows.erase(opening.flow);
+        return;
+    }
+    auto& flow = state.flows[opening.flow];
+    flow.is_waiting = false;
+    flow.last_packet = at;
+    flow.opening_sent = at;
+    state.pending.push_back({opening.flow, at + open_timeout_ms, flow.tried.size(), opening.packet});
+}
+
 // Collects the flows that wait for a response of a dead target and can be repeated.
 auto collect_dead_flows(forwarding_state& state, target_index index, time_ms at) -> void {
     absl::erase_if(state.flows, [&](auto& entry) {
@@ -189,16 +354,16 @@
     -> void {
     const auto answered = absl::c_find(flow.tried, index);
     if (answered != flow.tried.end()) {
+        note_answer(state.reach);
         note_answered_opening(load_of(state, index), at);
         for (auto silent = flow.tried.begin(); silent != answered; ++silent) {
             note_suspicion(state, *silent, note_silent_opening(state.known, *silent, flow.opening_sent, at),
                            at);
         }
     }
-    for (const auto tried : flow.tried) {
-        lower(load_of(state, tried).pending_opens);
-    }
+    release_tried(state, flow, flow.tried.size());
     flow.tried.clear();
+    flow.given_up = 0;
 }
 
 // Notes that a flow is open at the target that its packets name.
@@ -216,17 +381,19 @@
     flow.stalled_epoch = load.progress_epoch - 1;
 }
 
-// Notes how long a request took that found a slot free.
+// Notes how long a request took that found a slot free. While hosts of the zone have just started, it is not
+// known which are free.
 auto note_request_time(forwarding_state& state, route_record& route, const flow_record& flow, time_ms at)
     -> void {
-    if (!flow.is_busy || !flow.found_free_slot) {
+    if (!flow.is_busy) {
         return;
     }
-    const auto took = static_cast<double>(std::max<std::int64_t>(1, at - flow.busy_since));
-    route.request_ms += route.requests == 0 ? took : (took - route.request_ms) * request_time_weight;
-    if (++route.requests == route_in_use_requests) {
-        find_urgent_routes(state.known);
+    note_use(state, route);
+    if (!flow.found_free_slot || at < state.known.unsettled_until) {
+        return;
     }
+    const auto took = static_cast<double>(std::max<std::int64_t>(1, at - flow.busy_since));
+    route.request_ms += route.request_ms == 0 ? took : (took - route.request_ms) * request_time_weight;
 }
 
 // Notes data of the client.
@@ -338,11 +505,13 @@
     if (!flow.is_open) {
         flow.acknowledgement = packet.acknowledgement;
     }
+    flow.is_waiting = false;  // it opened through another host meanwhile
     note_open(state, flow, index, at);
     flow.last_packet = at;
     if (is_after(packet.acknowledgement, flow.acknowledgement)) {
         flow.acknowledgement = packet.acknowledgement;
         note_request_time(state, *route, flow, at);
+        note_answer(state.reach);
         note_progress(target.load, at);
         set_busy(state, flow, false, at);
     }
@@ -385,35 +554,109 @@
 
 auto note_pause(forwarding_state& state, time_ms at) -> void {
     state.pending.clear();
+    note_answer(state.reach);
     note_start_in_zone(state.known, at, at);
 }
 
+auto keep_opening(forwarding_state& state, const flow_key& flow, const opening_packet& bytes) -> void {
+    if (!state.pending.empty() && state.pending.back().flow == flow) {
+        state.pending.back().packet = bytes;
+        return;
+    }
+    const auto* route = find_route(state.known, flow);
+    if (route == nullptr) {
+        return;
+    }
+    auto& openings = queue_of(state, *route).waiting[route->entry.priority];
+    if (!openings.empty() && openings.back().flow == flow) {
+        openings.back().packet = bytes;
+    }
+}
+
+auto take_waited_openings(forwarding_state& state, time_ms at) -> std::vector<waited_opening> {
+    auto taken = std::vector<waited_opening>{};
+    for (auto& [service, queue] : state.queues) {
+        const auto first = taken.size();
+        take_from_queue(state, queue, at, taken);
+        for (auto i = first; i < taken.size(); ++i) {
+            finish_wait(state, taken[i], at);
+        }
+    }
+    return taken;
+}
+
+auto refuse_waiting_openings(forwarding_state& state, time_ms at) -> std::vector<waited_opening> {
+    auto refused = std::vector<waited_opening>{};
+    for (auto& [service, queue] : state.queues) {
+        for (auto& [priority, openings] : queue.waiting) {
+            for (const auto& waiting : openings) {
+                const auto found = state.flows.find(waiting.flow);
+                if (found != state.flows.end() && found->second.is_waiting) {
+                    refused.push_back({{waiting.flow, found->second.target, waiting.packet},
+                                       packet_reason::overloaded,
+                                       at - waiting.arrived});
+                    state.flows.erase(found);
+                }
+            }
+        }
+        queue.waiting.clear();
+    }
+    return refused;
+}
+
+// An opening that no target has answered goes to another one. If none has room, it waits: a target that is
+// full says nothing.
+auto retry_opening(forwarding_state& state, const pending_open& pending, flow_record& flow,
+                   const route_record& route, time_ms at, std::vector<open_retry>& retries) -> void {
+    auto& queue = queue_of(state, route);
+    if (flow.tried.size() < open_target_limit) {
+        if (const auto target = place(state, route, flow, true, at)) {
+            retries.push_back({pending.flow, *target, pending.packet});
+            state.pending.push_back({pending.flow, at + open_timeout_ms, flow.tried.size(), pending.packet});
+            return;
+        }
+        note_pressure(queue, state.known.unsettled_until, at);
+    }
+    const auto give_up = flow.attempt_began + longest_wait_ms;
+    if (at + open_timeout_ms >= give_up) {
+        return;
+    }
+    flow.tried.clear();
+    flow.given_up = 0;
+    flow.is_waiting = true;
+    queue.waiting[route.entry.priority].push_back({pending.flow, at, give_up, true, pending.packet});
+}
+
 auto take_open_retries(forwarding_state& state, time_ms at) -> std::vector<open_retry> {
     auto retries = std::vector<open_retry>{};
     while (!state.pending.empty() && state.pending.front().deadline <= at) {
-        const auto [key, deadline, packet] = state.pending.front();
+        const auto pending = state.pending.front();
         state.pending.pop_front();
-        const auto found = state.flows.find(key);
-        if (found == state.flows.end() || found->second.is_open) {
+        const auto found = state.flows.find(pending.flow);
+        if (found == state.flows.end() || found->second.is_open || found->second.is_waiting ||
+            pending.tried > found->second.tried.size()) {
             continue;
         }
         auto& flow = found->second;
-        const auto* route = find_route(state.known, key);
-        if (route == nullptr || flow.tried.size() >= open_target_limit) {
-            continue;
+        release_tried(state, flow, pending.tried);
+        note_unanswered(load_of(state, flow.tried[pending.tried - 1]), at);
+        // After starts in the zone all targets may be full, and this host late.
+        const auto is_settled = at >= state.known.unsettled_until;
+        if (note_silence(state.reach, at) && is_settled && are_targets_silent(state.known)) {
+            note_cut_off(state.reach, at);
         }
-        if (const auto target = place(state, *route, flow, false, at)) {
-            retries.push_back({key, *target, packet});
-            state.pending.push_back({key, at + open_timeout_ms, packet});
+        if (const auto* route = find_route(state.known, pending.flow)) {
+            retry_opening(state, pending, flow, *route, at, retries);
         }
     }
     return retries;
 }
 
 auto expire_flows(forwarding_state& state, std::int64_t idle_ms, time_ms at) -> void {
+    const auto limit_ms = at < state.known.unsettled_until ? moved_busy_limit_ms : busy_limit_ms;
     absl::erase_if(state.flows, [&](auto& entry) {
         auto& flow = entry.second;
-        if (flow.is_busy && at - flow.busy_since > busy_limit_ms) {
+        if (flow.is_busy && at - flow.busy_since > limit_ms) {
             set_busy(state, flow, false, at);
         }
         const auto limit = flow.is_open ? idle_ms : open_limit_ms;
@@ -443,6 +686,10 @@
             return "stale_route";
         case packet_reason::no_target:
             return "no_target";
+        case packet_reason::cut_off:
+            return "cut_off";
+        case packet_reason::waits_for_target:
+            return "waits_for_target";
         case packet_reason::overloaded:
             return "overloaded";
         case packet_reason::unknown_carrier:
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -10,8 +10,10 @@
 #include <string>
 #include <vector>
 
+#include "edge/admission_func.h"
 #include "edge/directory_base.h"
 #include "edge/placement_func.h"
+#include "edge/reach_func.h"
 
 namespace agatepost::edge {
 
@@ -28,6 +30,10 @@
 // A request without a sign of its response for this long no longer counts as in progress.
 constexpr std::int64_t busy_limit_ms = 1000;
 
+// The same while hosts of the zone have just started: flows then go on through other hosts, which count them
+// too. A client retransmits after 200 ms what no target has.
+constexpr std::int64_t moved_busy_limit_ms = 250;
+
 // Weight of the newest closed flow in a route's average of requests per flow.
 constexpr double requests_average_weight = 0.05;
 
@@ -39,6 +45,7 @@
     forward,  // to the target
     reset,    // the client gets a reset
     drop,     // nothing
+    hold,     // it waits in this host for a target
 };
 
 // Why. One counter each.
@@ -51,6 +58,8 @@
     unknown_route,          // no route has this address
     stale_route,            // no route has this address, but the configuration may be out of date
     no_target,              // no target of the service takes flows
+    cut_off,                // this host reaches no target; another may
+    waits_for_target,       // no target of the service would answer in time yet
     overloaded,             // no target of the service would answer in time
     unknown_carrier,        // the carrier names no target
     unknown_carrier_reset,  // the same, again and with a current view: the target is gone
@@ -80,21 +89,22 @@
     bool is_open = false;          // a packet after the opening was seen
     bool is_busy = false;          // a request is in progress
     bool found_free_slot = false;  // that request, when it was sent
+    bool is_waiting = false;       // its opening packet waits in this host
     bool knows_opening = false;    // this host saw the opening packet, with `opening_sequence`
     std::uint32_t opening_sequence = 0;
     time_ms last_packet;
     time_ms busy_since;
-    time_ms opening_sent;  // for the first time
-    tried_targets tried;   // of an opening flow
+    time_ms attempt_began;     // when the client sent the first opening packet
+    time_ms opening_sent;      // to the first of the targets tried
+    tried_targets tried;       // of an opening flow
+    std::size_t given_up = 0;  // the first of these no longer count as busy with it
 };
 
-// The bytes of an opening packet, which has no data.
-using opening_packet = std::array<std::uint8_t, bare_packet_bytes>;
-
 // An opening packet that waits for a further packet of its flow.
 struct pending_open {
     flow_key flow;
     time_ms deadline;       // when it is sent to another target
+    std::size_t tried = 0;  // targets of the flow that had got it then
     opening_packet packet;  // filled in by the caller of handle_packet
 };
 
@@ -116,6 +126,8 @@
     directory known;
     std::string zone;  // of this host
     absl::flat_hash_map<flow_key, flow_record> flows;
+    admission_queues queues;
+    reach_state reach;
     std::deque<pending_open> pending;          // by deadline
     std::vector<dead_flow> dead_flows;         // to be reset by the caller of handle_packet
     std::vector<target_index> found_dead;      // for the log; emptied by the caller
@@ -138,10 +150,27 @@
 // retransmissions went through other hosts or wait in the socket.
 auto note_pause(forwarding_state& state, time_ms at) -> void;
 
-// Returns the opening packets that got no answer in time, with the next target for each. All packets that
+// Returns the opening packets that got no answer in time, with the next target for each. Those that no target
+// has room for wait. All packets that
 // have arrived are to be handled before, or answers that wait in the socket look like silence.
 auto take_open_retries(forwarding_state& state, time_ms at) -> std::vector<open_retry>;
 
+// Keeps the bytes of an opening packet that was just handled, for when it is sent again or later.
+auto keep_opening(forwarding_state& state, const flow_key& flow, const opening_packet& bytes) -> void;
+
+// An opening that has waited: placed, or refused since nothing could take it.
+struct waited_opening {
+    open_retry opening;
+    packet_reason reason = packet_reason::opened;
+    std::int64_t waited_ms = 0;
+};
+
+// Returns the openings whose wait ends now, the most urgent first.
+auto take_waited_openings(forwarding_state& state, time_ms at) -> std::vector<waited_opening>;
+
+// Returns all openings that wait, to be refused: this host is about to stop.
+auto refuse_waiting_openings(forwarding_state& state, time_ms at) -> std::vector<waited_opening>;
+
 // Forgets flows without packets for `idle_ms`, and requests without a response for too long.
 auto expire_flows(forwarding_state& state, std::int64_t idle_ms, time_ms at) -> void;
 
--- a/src/edge/http.cpp
+++ b/src/edge/http.cpp
@@ -132,8 +132,12 @@
     auto& parser = reader_->parser;
     auto code = boost::beast::error_code{};
     if (got == 0) {
-        parser.put_eof(code);
-        if (code || !parser.is_done()) {
+        // The parser takes an end before the first byte for a whole answer without status.
+        const auto has_begun = parser.got_some();
+        if (has_begun) {
+            parser.put_eof(code);
+        }
+        if (!has_begun || code || !parser.is_done()) {
             fail("the connection was closed before the answer");
             return;
         }
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -25,6 +25,12 @@
            (load.silent_opens != 0 && load.pending_opens != 0);
 }
 
+// Whether a target has no place for another request, as far as this host knows. One whose pause has passed is
+// tried with one opening.
+auto is_full(const target_load& load, time_ms at) -> bool {
+    return at < load.full_until || (load.silent_rounds != 0 && load.pending_opens != 0);
+}
+
 // The finalizer of SplitMix64: equal on all hosts, unlike the seeded hashes of containers.
 auto pair_weight(std::uint32_t host, std::uint32_t carrier) -> std::uint64_t {
     auto mixed = (static_cast<std::uint64_t>(host) << 32U) | carrier;
@@ -97,6 +103,7 @@
         return std::nullopt;
     }
     auto trusted = best_target{};
+    auto full = best_target{};
     auto suspected = best_target{};
     for (const auto index : members->second) {
         if (!takes_new_flows(known, index) || absl::c_linear_search(tried, index)) {
@@ -106,10 +113,10 @@
         if (wants_probe(target.load)) {
             return index;
         }
-        auto& best = is_suspect(target.load, at) ? suspected : trusted;
+        auto& best = is_suspect(target.load, at) ? suspected : is_full(target.load, at) ? full : trusted;
         best.offer(index, expected_load(target, request, at), random);
     }
-    return trusted.index ? trusted.index : suspected.index;
+    return trusted.index ? trusted.index : full.index ? full.index : suspected.index;
 }
 
 auto busy_per_slot(const target_record& target) -> double {
@@ -127,7 +134,7 @@
     auto best = std::optional<target_index>{};
     for (const auto index : members->second) {
         const auto& target = known.targets[index];
-        if (takes_new_flows(known, index) && !is_suspect(target.load, at) &&
+        if (takes_new_flows(known, index) && !is_suspect(target.load, at) && !is_full(target.load, at) &&
             (!best || busy_per_slot(target) < busy_per_slot(known.targets[*best]))) {
             best = index;
         }
@@ -135,10 +142,18 @@
     return best;
 }
 
-auto is_in_time(const route_record& route, const target_record& target) -> bool {
+auto expected_request_ms(const route_record& route) -> double {
+    return route.request_ms != 0 ? route.request_ms
+                                 : static_cast<double>(route.entry.target_latency_ms) * assumed_latency_share;
+}
+
+auto is_in_time(const route_record& route, const target_record& target, time_ms at) -> bool {
+    if (is_full(target.load, at)) {
+        return false;
+    }
     const auto share = route.is_urgent ? urgent_latency_share : other_latency_share;
     const auto limit_ms = share * static_cast<double>(route.entry.target_latency_ms);
-    return limit_ms == 0 || busy_per_slot(target) * route.request_ms <= limit_ms;
+    return limit_ms == 0 || busy_per_slot(target) * expected_request_ms(route) <= limit_ms;
 }
 
 auto choose_service(const directory& known, const route_entry& route, std::minstd_rand& random)
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -53,12 +53,20 @@
 // Returns the requests in progress or on their way per slot of a target, as far as this host knows.
 auto busy_per_slot(const target_record& target) -> double;
 
-// Returns the target of a service with the fewest requests per slot, suspects left out, or nothing.
+// Returns the target of a service with the fewest requests per slot, or nothing. Suspects and full ones are
+// left out.
 auto least_busy_target(const directory& known, const std::string& service, time_ms at)
     -> std::optional<target_index>;
 
+// Share of a route's target latency that its requests are taken to need until one was timed. Without it, a
+// host that has just started takes any load for none.
+constexpr double assumed_latency_share = 0.25;
+
+// Returns how long a request of the route takes at a free slot.
+auto expected_request_ms(const route_record& route) -> double;
+
 // Returns whether a new request of the route is expected to be answered in time by the target.
-auto is_in_time(const route_record& route, const target_record& target) -> bool;
+auto is_in_time(const route_record& route, const target_record& target, time_ms at) -> bool;
 
 // Deals the targets of a zone among its hosts: each target goes to one host by the highest weight of their
 // pair (rendezvous hashing), so that a host that comes or goes moves only its own share. Without hosts, no
@@ -70,7 +78,8 @@
 auto expected_load(const target_record& target, const flow_request& request, time_ms at) -> double;
 
 // Returns the least loaded target of a service for a new flow, or nothing if there is none. Targets that were
-// tried are left out; suspects are taken only if nothing else is left. Equal targets are drawn by `random`.
+// tried are left out; full ones are taken only if nothing else is left, and suspects after them. Equal
+// targets are drawn by `random`.
 auto choose_target(const directory& known, const std::string& service, const flow_request& request,
                    const tried_targets& tried, time_ms at, std::minstd_rand& random)
     -> std::optional<target_index>;
--- /dev/null
+++ b/tests/edge_admission_test.cpp
@@ -0,0 +1,471 @@
+// Guards against requests that are refused although they would be served well inside their deadline, and
+// against queues that make every request late. Replays a herd and a lasting overload against the decisions of
+// a host, in an event model of targets with slots and of clients with three tries and a deadline.
+
+#include <map>
+#include <queue>
+
+#include "edge_test_func.h"
+
+namespace agatepost::edge {
+
+namespace {
+
+constexpr std::uint16_t feed_route = 443;
+constexpr std::uint16_t order_route = 8080;
+constexpr int feed_latency_ms = 120;
+constexpr int order_latency_ms = 150;
+constexpr std::int64_t feed_deadline_ms = 2000;
+constexpr std::int64_t order_deadline_ms = 2500;
+constexpr std::int64_t round_trip_ms = 4;
+constexpr std::int64_t attempt_limit_ms = 1400;  // without an answer to an opening or its copies
+constexpr int tries = 3;
+constexpr double feed_work_ms = 40;
+constexpr double order_work_ms = 48;
+
+// What became of the requests of one route.
+struct served {
+    int in_time = 0;
+    int late = 0;
+    int never = 0;
+
+    auto total() const -> int { return in_time + late + never; }
+};
+
+// One request of a client, with all its attempts.
+struct model_client {
+    bool is_order = false;
+    time_ms began;
+    int tries_left = tries;
+    std::uint16_t port = 0;  // of the present attempt
+    time_ms attempt_began;
+    unsigned copies = 0;
+    bool is_open = false;
+    bool is_done = false;
+};
+
+// A target: slots, and a queue of the clients that wait for one.
+struct model_target {
+    std::vector<std::pair<time_ms, std::size_t>> working;  // until, client
+    std::queue<std::size_t> waiting;
+};
+
+// One host, its targets of two slots each, and clients that open a flow for each request.
+class admission_model {
+public:
+    admission_model(std::size_t targets, unsigned seed) : random_(seed), targets_(targets) {
+        auto entries = std::vector<test_target>{};
+        for (auto i = std::size_t{0}; i < targets; ++i) {
+            entries.push_back({"i-" + std::to_string(10 + i), "desk", "a", "10.1.64.1:8000", "ready", 2});
+        }
+        state_ = test_state(entries, {{feed_route, "desk", "download", feed_latency_ms, 2},
+                                      {order_route, "desk", "non_idempotent", order_latency_ms, 1}});
+        for (auto& [key, route] : state_.known.routes) {
+            route.request_ms = feed_work_ms;
+            route.requests = route_in_use_requests;
+        }
+        find_urgent_routes(state_.known);
+        for (auto i = std::size_t{0}; i < targets; ++i) {
+            const auto index = state_.known.by_name.at(entries[i].id);
+            by_carrier_[state_.known.targets[index].entry.carrier] = i;
+        }
+    }
+
+    served feeds;
+    served orders;
+
+    // Lets requests arrive at a rate for a time, a fifth of them orders.
+    auto run(double per_s, std::int64_t ms) -> void {
+        constexpr int order_share = 5;
+        for (const auto end = at_ + ms; at_ < end; at_ = at_ + 1) {
+            arrivals_ += per_s / 1000;
+            for (; arrivals_ >= 1; --arrivals_) {
+                begin(random_() % order_share == 0);
+            }
+            tick();
+        }
+    }
+
+    // Requests that arrive within one moment.
+    auto herd(int count) -> void { arrivals_ += count; }
+
+    // Lets what is under way come to its end.
+    auto settle() -> void { run(0, order_deadline_ms + 500); }
+
+private:
+    auto begin(bool is_order) -> void {
+        auto client = model_client{};
+        client.is_order = is_order;
+        client.began = at_;
+        clients_.push_back(client);
+        attempt(clients_.size() - 1);
+    }
+
+    auto deadline_of(const model_client& client) const -> time_ms {
+        return client.began + (client.is_order ? order_deadline_ms : feed_deadline_ms);
+    }
+
+    auto attempt(std::size_t index) -> void {
+        auto& client = clients_[index];
+        if (client.tries_left-- == 0) {
+            finish(client, false);
+            return;
+        }
+        client.port = ++next_port_;
+        client.attempt_began = at_;
+        client.copies = 0;
+        by_port_[client.port] = index;
+        send_opening(index);
+    }
+
+    auto send_opening(std::size_t index) -> void {
+        const auto& client = clients_[index];
+        auto packet = opening(client.port, client.is_order ? order_route : feed_route);
+        packet.acknowledgement = client.copies;
+        const auto verdict = handle_packet(state_, packet, current_view, at_);
+        if (verdict.action == packet_action::reset) {
+            refused_.push_back(index);
+        } else if (verdict.action == packet_action::forward) {
+            open(index, verdict.target);
+        }
+    }
+
+    // The target answers the opening, and the request follows.
+    auto open(std::size_t index, target_index target) -> void {
+        auto& client = clients_[index];
+        if (client.is_open || client.is_done) {
+            return;
+        }
+        client.is_open = true;
+        const auto carrier = state_.known.targets[target].entry.carrier;
+        const auto port = client.is_order ? order_route : feed_route;
+        handle_packet(state_, completion(client.port, carrier, port), current_view, at_);
+        handle_packet(state_, data(client.port, carrier, 0, 0, port), current_view, at_);
+        targets_[by_carrier_.at(carrier)].waiting.push(index);
+    }
+
+    auto tick() -> void {
+        for (const auto& done : take_waited_openings(state_, at_)) {
+            const auto found = by_port_.find(done.opening.flow.client_port);
+            if (done.reason == packet_reason::opened) {
+                open(found->second, done.opening.target);
+            } else {
+                refused_.push_back(found->second);
+            }
+        }
+        take_open_retries(state_, at_);
+        for (auto& target : targets_) {
+            work(target);
+        }
+        for (auto index = first_active_; index < clients_.size(); ++index) {
+            watch(index);
+        }
+        while (first_active_ < clients_.size() && clients_[first_active_].is_done) {
+            ++first_active_;
+        }
+        // A client that was refused comes again at once, from another port.
+        const auto refused = std::move(refused_);
+        refused_.clear();
+        for (const auto index : refused) {
+            if (!clients_[index].is_done) {
+                attempt(index);
+            }
+        }
+        if (at_.value % 500 == 0) {
+            expire_flows(state_, 15000, at_);
+        }
+    }
+
+    auto watch(std::size_t index) -> void {
+        auto& client = clients_[index];
+        if (client.is_done) {
+            return;
+        }
+        if (at_ >= deadline_of(client)) {
+            finish(client, false);
+            return;
+        }
+        if (client.is_open) {
+            return;
+        }
+        const auto waited = at_ - client.attempt_began;
+        if ((client.copies == 0 && waited >= 200) || (client.copies == 1 && waited >= 600)) {
+            ++client.copies;
+            send_opening(index);
+        } else if (waited >= attempt_limit_ms) {
+            attempt(index);
+        }
+    }
+
+    auto work(model_target& target) -> void {
+        constexpr std::size_t slots = 2;
+        for (auto i = std::size_t{0}; i < target.working.size();) {
+            if (target.working[i].first > at_) {
+                ++i;
+                continue;
+            }
+            end_flow(target.working[i].second);
+            target.working.erase(target.working.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+        while (target.working.size() < slots && !target.waiting.empty()) {
+            const auto index = target.waiting.front();
+            target.waiting.pop();
+            const auto mean = clients_[index].is_order ? order_work_ms : feed_work_ms;
+            const auto work_ms = std::exponential_distribution<double>(2 / mean)(random_) + mean / 2;
+            target.working.emplace_back(at_ + static_cast<std::int64_t>(work_ms), index);
+        }
+    }
+
+    auto end_flow(std::size_t index) -> void {
+        auto& client = clients_[index];
+        const auto port = client.is_order ? order_route : feed_route;
+        const auto found = state_.flows.find(opening(client.port, port).flow);
+        if (found != state_.flows.end()) {
+            auto last =
+                completion(client.port, state_.known.targets[found->second.target].entry.carrier, port);
+            last.sequence += 100;
+            last.acknowledgement += 700;
+            last.is_fin = true;
+            handle_packet(state_, last, current_view, at_);
+        }
+        if (!client.is_done) {
+            finish(client, true);
+        }
+    }
+
+    auto finish(model_client& client, bool is_served) -> void {
+        client.is_done = true;
+        auto& sum = client.is_order ? orders : feeds;
+        const auto aim = client.is_order ? order_latency_ms : feed_latency_ms;
+        if (!is_served) {
+            ++sum.never;
+        } else if (at_ - client.began + round_trip_ms <= aim) {
+            ++sum.in_time;
+        } else {
+            ++sum.late;
+        }
+    }
+
+    std::mt19937 random_;
+    forwarding_state state_;
+    std::vector<model_target> targets_;
+    std::map<std::uint32_t, std::size_t> by_carrier_;
+    std::map<std::uint16_t, std::size_t> by_port_;
+    std::vector<model_client> clients_;
+    std::vector<std::size_t> refused_;
+    std::size_t first_active_ = 0;
+    std::uint16_t next_port_ = 0;
+    double arrivals_ = 0;
+    time_ms at_ = test_start;
+};
+
+constexpr std::size_t target_count = 7;
+// 14 slots serve 330 requests a second.
+constexpr double calm_per_s = 130;
+
+auto text(const served& feeds, const served& orders) -> std::string {
+    return "feeds in time " + std::to_string(feeds.in_time) + ", late " + std::to_string(feeds.late) +
+           ", never " + std::to_string(feeds.never) + "; orders in time " + std::to_string(orders.in_time) +
+           ", late " + std::to_string(orders.late) + ", never " + std::to_string(orders.never);
+}
+
+}  // namespace
+
+class edge_admission_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(edge_admission_test);
+    CPPUNIT_TEST(herd_after_a_loss_of_power_is_served);
+    CPPUNIT_TEST(lasting_overload_is_refused_at_once);
+    CPPUNIT_TEST(orders_go_before_feeds_that_wait);
+    CPPUNIT_TEST(waiting_order_refuses_no_feed_that_a_target_has_room_for);
+    CPPUNIT_TEST(opening_that_cannot_start_in_time_is_refused_at_once);
+    CPPUNIT_TEST(wait_ends_before_the_client_gives_up);
+    CPPUNIT_TEST(copy_of_a_waiting_opening_is_not_sent);
+    CPPUNIT_TEST(opening_that_waited_is_sent_as_the_client_wrote_it);
+    CPPUNIT_TEST(waiting_flow_that_opened_elsewhere_is_not_opened_again);
+    CPPUNIT_TEST(stopping_host_refuses_what_waits);
+    CPPUNIT_TEST(without_targets_nothing_waits);
+    CPPUNIT_TEST_SUITE_END();
+
+    static auto waiting_state() -> forwarding_state {
+        auto state = test_state({{"i-1"}}, {{feed_route, "desk", "idempotent", feed_latency_ms, 2},
+                                            {order_route, "desk", "non_idempotent", order_latency_ms, 1}});
+        for (auto& [key, route] : state.known.routes) {
+            route.request_ms = feed_work_ms;
+            route.requests = route_in_use_requests;
+        }
+        find_urgent_routes(state.known);
+        set_told_busy(state, 50);
+        return state;
+    }
+
+    static auto set_told_busy(forwarding_state& state, std::uint32_t busy) -> void {
+        state.known.targets[state.known.by_name.at("i-1")].load.told_busy = busy;
+    }
+
+    static auto reason_of(forwarding_state& state, std::uint16_t port, std::uint16_t route, time_ms at)
+        -> packet_reason {
+        return handle_packet(state, opening(port, route), current_view, at).reason;
+    }
+
+public:
+    // All clients come at once: 6 requests a slot, 240 ms of work, against deadlines of 2 s and more. Target
+    // of the users: at most 0.2% never served, and no order among them.
+    auto herd_after_a_loss_of_power_is_served() -> void {
+        auto feeds = served{};
+        auto orders = served{};
+        for (auto seed = 1U; seed <= 10; ++seed) {
+            auto model = admission_model(target_count, seed);
+            model.run(calm_per_s, 1000);
+            model.herd(84);
+            model.run(calm_per_s, 2000);
+            model.settle();
+            feeds.in_time += model.feeds.in_time;
+            feeds.late += model.feeds.late;
+            feeds.never += model.feeds.never;
+            orders.in_time += model.orders.in_time;
+            orders.late += model.orders.late;
+            orders.never += model.orders.never;
+        }
+        const auto seen = text(feeds, orders);
+        CPPUNIT_ASSERT_MESSAGE(seen, feeds.total() + orders.total() > 4000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, 0, orders.never);
+        CPPUNIT_ASSERT_MESSAGE(seen, feeds.never * 500 <= feeds.total());
+    }
+
+    // 1.6 times what the slots serve, for 6 s. After the first seconds, whoever is admitted is served in
+    // time, and orders lose nothing.
+    auto lasting_overload_is_refused_at_once() -> void {
+        constexpr double overload_per_s = 530;
+        auto feeds = served{};
+        auto orders = served{};
+        for (auto seed = 1U; seed <= 5; ++seed) {
+            auto model = admission_model(target_count, seed);
+            model.run(calm_per_s, 1000);
+            model.run(overload_per_s, 3000);
+            model.feeds = {};
+            model.orders = {};
+            model.run(overload_per_s, 3000);
+            feeds.in_time += model.feeds.in_time;
+            feeds.late += model.feeds.late;
+            feeds.never += model.feeds.never;
+            orders.never += model.orders.never;
+        }
+        const auto seen = text(feeds, orders);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, 0, orders.never);
+        CPPUNIT_ASSERT_MESSAGE(seen, feeds.in_time > feeds.late);
+    }
+
+    auto orders_go_before_feeds_that_wait() -> void {
+        auto state = waiting_state();
+        CPPUNIT_ASSERT(reason_of(state, 1, feed_route, test_start) == packet_reason::waits_for_target);
+        CPPUNIT_ASSERT(reason_of(state, 2, order_route, test_start) == packet_reason::waits_for_target);
+        CPPUNIT_ASSERT(take_waited_openings(state, test_start + 5).empty());
+        set_told_busy(state, 0);
+        const auto taken = take_waited_openings(state, test_start + 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, taken.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, taken[0].opening.flow.client_port);
+        CPPUNIT_ASSERT(taken[1].reason == packet_reason::opened);
+    }
+
+    // Targets that died looked idle. Orders that had been sent there waited for a moment, and meanwhile feeds
+    // were refused beside idle targets.
+    auto waiting_order_refuses_no_feed_that_a_target_has_room_for() -> void {
+        auto state = waiting_state();
+        reason_of(state, 1, order_route, test_start);
+        auto& queue = state.queues.at("desk");
+        queue.pressed_since = test_start + -herd_ms;
+        CPPUNIT_ASSERT(is_lasting(queue, test_start));
+        set_told_busy(state, 0);
+        CPPUNIT_ASSERT(reason_of(state, 2, feed_route, test_start + 5) == packet_reason::opened);
+    }
+
+    // Two slots of 40 ms serve 50 feeds a second, so that the 61st would wait for longer than an attempt
+    // lasts.
+    auto opening_that_cannot_start_in_time_is_refused_at_once() -> void {
+        auto state = waiting_state();
+        auto port = std::uint16_t{0};
+        while (reason_of(state, ++port, feed_route, test_start) == packet_reason::waits_for_target) {
+            CPPUNIT_ASSERT(port < 100);
+        }
+        CPPUNIT_ASSERT(port > 30);
+        CPPUNIT_ASSERT(reason_of(state, ++port, feed_route, test_start) == packet_reason::overloaded);
+    }
+
+    auto wait_ends_before_the_client_gives_up() -> void {
+        auto state = waiting_state();
+        reason_of(state, 1, feed_route, test_start);
+        reason_of(state, 2, order_route, test_start);
+        auto ended = std::map<std::uint16_t, packet_reason>{};
+        for (auto at = test_start; at < test_start + attempt_limit_ms; at = at + waiting_check_ms) {
+            for (const auto& done : take_waited_openings(state, at)) {
+                ended[done.opening.flow.client_port] = done.reason;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ended.size());
+        CPPUNIT_ASSERT(ended[1] == packet_reason::overloaded);
+        CPPUNIT_ASSERT(ended[2] == packet_reason::opened);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count_waiting(state.queues));
+    }
+
+    auto copy_of_a_waiting_opening_is_not_sent() -> void {
+        auto state = waiting_state();
+        reason_of(state, 1, feed_route, test_start);
+        auto copy = opening(1, feed_route);
+        copy.acknowledgement = 1;
+        CPPUNIT_ASSERT(handle_packet(state, copy, current_view, test_start + 200).action ==
+                       packet_action::drop);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_waiting(state.queues));
+    }
+
+    auto opening_that_waited_is_sent_as_the_client_wrote_it() -> void {
+        auto state = waiting_state();
+        const auto packet = opening(1, feed_route);
+        CPPUNIT_ASSERT(handle_packet(state, packet, current_view, test_start).action == packet_action::hold);
+        auto bytes = opening_packet{};
+        bytes.fill(0x5a);
+        keep_opening(state, packet.flow, bytes);
+        set_told_busy(state, 0);
+        const auto taken = take_waited_openings(state, test_start + 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, taken.size());
+        CPPUNIT_ASSERT(taken[0].opening.packet == bytes);
+        // A second target gets the same bytes.
+        state.known.targets[state.known.by_name.at("i-1")].load.silent_opens = 0;
+        CPPUNIT_ASSERT(state.pending.back().packet == bytes);
+    }
+
+    auto waiting_flow_that_opened_elsewhere_is_not_opened_again() -> void {
+        auto state = waiting_state();
+        reason_of(state, 1, feed_route, test_start);
+        handle_packet(state, completion(1, 1, feed_route), current_view, test_start + 20);
+        handle_packet(state, data(1, 1, 0, 0, feed_route), current_view, test_start + 20);
+        set_told_busy(state, 0);
+        CPPUNIT_ASSERT(take_waited_openings(state, test_start + 30).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count_waiting(state.queues));
+        CPPUNIT_ASSERT(state.flows.at(opening(1, feed_route).flow).is_open);
+    }
+
+    // Nothing of them has run, and no other host knows of them.
+    auto stopping_host_refuses_what_waits() -> void {
+        auto state = waiting_state();
+        reason_of(state, 1, feed_route, test_start);
+        reason_of(state, 2, order_route, test_start);
+        const auto refused = refuse_waiting_openings(state, test_start + 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, refused.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count_waiting(state.queues));
+        CPPUNIT_ASSERT(state.flows.empty());
+    }
+
+    auto without_targets_nothing_waits() -> void {
+        auto state = waiting_state();
+        reason_of(state, 1, feed_route, test_start);
+        apply_item(state.known, removal_item("i-1", 99), test_start);
+        const auto taken = take_waited_openings(state, test_start + 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, taken.size());
+        CPPUNIT_ASSERT(taken[0].reason == packet_reason::no_target);
+        CPPUNIT_ASSERT(reason_of(state, 2, feed_route, test_start + 20) == packet_reason::no_target);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_admission_test);
+
+}  // namespace agatepost::edge
--- a/tests/edge_explain_test.cpp
+++ b/tests/edge_explain_test.cpp
@@ -1,6 +1,7 @@
 // Guards the way from the id of a failed request to its cause over the log lines of several hosts, and that a
 // log that nobody reads does not stop a host.
 
+#include <absl/strings/match.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fcntl.h>
 #include <unistd.h>
@@ -8,6 +9,7 @@
 #include <sstream>
 
 #include "core/log_batch_base.h"
+#include "core/log_func.h"
 #include "edge/explain_log_func.h"
 
 namespace agatepost::edge {
@@ -43,6 +45,7 @@
     CPPUNIT_TEST(flow_without_lines_is_said_so);
     CPPUNIT_TEST(lines_of_others_are_left_out);
     CPPUNIT_TEST(unreadable_lines_are_passed_over);
+    CPPUNIT_TEST(resets_of_open_flows_are_never_left_out);
     CPPUNIT_TEST(full_pipe_drops_lines_and_counts_them);
     CPPUNIT_TEST_SUITE_END();
 
@@ -104,6 +107,19 @@
                      "the target died");
     }
 
+    // A reset of an open flow is a fault until its line explains it.
+    auto resets_of_open_flows_are_never_left_out() -> void {
+        auto lines = 0;
+        set_log_writer(
+            [&](const std::string& text) { lines += absl::StrContains(text, "flow_reset") ? 1 : 0; });
+        constexpr auto resets = static_cast<int>(3 * flow_log_lines_per_window);
+        for (auto i = 0; i < resets; ++i) {
+            write_log(log_event::flow_reset, {{"flow", std::to_string(i)}});
+        }
+        set_log_writer({});
+        CPPUNIT_ASSERT_EQUAL(resets, lines);
+    }
+
     // Standard output is a pipe that nobody reads.
     auto full_pipe_drops_lines_and_counts_them() -> void {
         int ends[2] = {-1, -1};
--- /dev/null
+++ b/tests/edge_reach_test.cpp
@@ -0,0 +1,121 @@
+// Guards against a host that is cut off from the targets and takes clients' openings all the same, and
+// against a host that refuses them because targets are full.
+
+#include "edge/suspicion_func.h"
+#include "edge_test_func.h"
+
+namespace agatepost::edge {
+
+namespace {
+
+constexpr std::int64_t step_ms = 5;
+constexpr std::size_t target_count = 4;
+
+auto four_targets() -> std::vector<test_target> {
+    return {{"i-1"}, {"i-2"}, {"i-3"}, {"i-4"}};
+}
+
+// Clients that open flows steadily, none of which is answered.
+struct silent_targets {
+    forwarding_state state = test_state(four_targets());
+    time_ms at = test_start;
+    std::uint16_t port = 0;
+
+    // Returns the openings that were not reset.
+    auto run(std::int64_t ms) -> int {
+        auto taken = 0;
+        for (const auto end = at + ms; at < end; at = at + step_ms) {
+            const auto verdict = handle_packet(state, opening(++port), current_view, at);
+            taken += verdict.action != packet_action::reset ? 1 : 0;
+            take_open_retries(state, at);
+            take_waited_openings(state, at);
+        }
+        return taken;
+    }
+};
+
+}  // namespace
+
+class edge_reach_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(edge_reach_test);
+    CPPUNIT_TEST(host_that_reaches_no_target_refuses_at_once);
+    CPPUNIT_TEST(answer_ends_the_cut);
+    CPPUNIT_TEST(full_targets_are_no_cut);
+    CPPUNIT_TEST(few_silent_openings_are_no_cut);
+    CPPUNIT_TEST(silent_targets_of_one_zone_are_no_cut);
+    CPPUNIT_TEST(cut_is_tried_again_when_other_hosts_are_heard);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto host_that_reaches_no_target_refuses_at_once() -> void {
+        auto clients = silent_targets{};
+        clients.run(500);
+        CPPUNIT_ASSERT(is_cut_off(clients.state.reach, clients.at));
+        // But for those that are to show if it has healed.
+        CPPUNIT_ASSERT(clients.run(1000) <= 1000 / cut_probe_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count_waiting(clients.state.queues));
+    }
+
+    auto answer_ends_the_cut() -> void {
+        auto clients = silent_targets{};
+        clients.run(500);
+        clients.at = clients.at + cut_probe_ms;
+        const auto verdict = handle_packet(clients.state, opening(9000), current_view, clients.at);
+        CPPUNIT_ASSERT(verdict.action == packet_action::forward);
+        handle_packet(clients.state, completion(9000, carrier_of(clients.state, verdict)), current_view,
+                      clients.at + 5);
+        CPPUNIT_ASSERT(!is_cut_off(clients.state.reach, clients.at + 5));
+        CPPUNIT_ASSERT(handle_packet(clients.state, opening(9001), current_view, clients.at + 6).action !=
+                       packet_action::reset);
+    }
+
+    // Openings stay unanswered, but requests of open flows get their responses.
+    auto full_targets_are_no_cut() -> void {
+        auto clients = silent_targets{};
+        for (auto i = 1U; i <= target_count; ++i) {
+            handle_packet(clients.state, completion(static_cast<std::uint16_t>(8000 + i), i), current_view,
+                          clients.at);
+        }
+        for (auto round = 0U; round < 20; ++round) {
+            handle_packet(clients.state, data(8001, 1, 100 * round, 500 * round), current_view, clients.at);
+            clients.run(100);
+            CPPUNIT_ASSERT(!is_cut_off(clients.state.reach, clients.at));
+        }
+    }
+
+    auto few_silent_openings_are_no_cut() -> void {
+        auto state = test_state(four_targets());
+        for (auto port = std::uint16_t{1}; port < 3; ++port) {
+            handle_packet(state, opening(port), current_view, test_start);
+        }
+        for (auto at = test_start; at < test_start + 100; at = at + step_ms) {
+            take_open_retries(state, at);
+        }
+        CPPUNIT_ASSERT(!is_cut_off(state.reach, test_start + 100));
+    }
+
+    // All targets of the own zone died, and no opening has gone to another zone yet.
+    auto silent_targets_of_one_zone_are_no_cut() -> void {
+        auto known = test_state({{"i-1"}, {"i-2"}, {"i-4", "desk", "b"}}).known;
+        known.targets[known.by_name.at("i-1")].load.silent_rounds = 1;
+        known.targets[known.by_name.at("i-2")].load.silent_rounds = 1;
+        CPPUNIT_ASSERT(!are_targets_silent(known));
+        known.targets[known.by_name.at("i-4")].load.silent_rounds = 1;
+        CPPUNIT_ASSERT(are_targets_silent(known));
+    }
+
+    auto cut_is_tried_again_when_other_hosts_are_heard() -> void {
+        auto clients = silent_targets{};
+        clients.run(500);
+        auto alone = clients.state.reach;
+        const auto later = clients.at + cut_pause_ms;
+        CPPUNIT_ASSERT(is_cut_off(alone, later));
+        clients.state.reach.last_peer = later;
+        CPPUNIT_ASSERT(!is_cut_off(clients.state.reach, later));
+        CPPUNIT_ASSERT(!is_cut_off(alone, clients.at + cut_pause_limit_ms));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_reach_test);
+
+}  // namespace agatepost::edge
