--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -301,7 +301,7 @@
                     ++i;
                     continue;
                 }
-                taken.push_back(std::move(*done));
+                taken.push_back(*done);
             }
             i = openings.erase(i);
         }
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -70,6 +70,21 @@
     }
 }
 
+// Whether so many hosts of the zone have just started that silence says nothing of targets. One alone moves
+// few flows, and targets that die meanwhile are to be found.
+auto are_many_starting(const peer_group& group, time_ms at) -> bool {
+    constexpr int many_share = 4;  // a quarter
+    auto hosts = 1;                // this one
+    auto starting = 0;
+    for (const auto& [address, peer] : group.peers) {
+        if (is_member(group, peer, at) && peer.last.zone == group.zone) {
+            ++hosts;
+            starting += peer.last.uptime_ms + (at - peer.heard) < settle_ms ? 1 : 0;
+        }
+    }
+    return starting * many_share >= hosts;
+}
+
 auto add_loads(peer_record& peer, directory& known) -> void {
     for (const auto& told : peer.last.loads) {
         const auto found = known.by_carrier.find(told.carrier);
@@ -156,15 +171,16 @@
     if (peer.was_heard && peer.last.boot == beat.boot && beat.uptime_ms < peer.last.uptime_ms) {
         return false;
     }
-    if (beat.zone == group.zone) {
-        note_start_in_zone(known, at + -beat.uptime_ms, at);
-    }
     const auto is_new = !is_member(group, peer, at);
     take_back(peer, known);
     peer.last = std::move(beat);
     peer.heard = at;
     peer.was_heard = true;
     add_loads(peer, known);
+    const auto started = at + -peer.last.uptime_ms;
+    if (peer.last.zone == group.zone && at - started < settle_ms && are_many_starting(group, at)) {
+        note_start_in_zone(known, started, at);
+    }
     return is_new;
 }
 
--- a/tests/edge_suspicion_test.cpp
+++ b/tests/edge_suspicion_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(filing_at_a_dead_target_is_never_reset);
     CPPUNIT_TEST(start_of_a_host_of_the_zone_makes_no_target_dead);
     CPPUNIT_TEST(start_in_another_zone_delays_nothing);
+    CPPUNIT_TEST(start_of_one_host_of_many_delays_nothing);
     CPPUNIT_TEST(late_heartbeat_of_an_earlier_state_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -152,6 +153,28 @@
         CPPUNIT_ASSERT(is_way_sound(known, 0, test_start));
     }
 
+    // Hosts were added one by one while targets died, and none of these was found for 2 s.
+    auto start_of_one_host_of_many_delays_nothing() -> void {
+        auto known = directory{};
+        auto group = peer_group{};
+        group.own_address = 1;
+        group.zone = "a";
+        auto beat = heartbeat{};
+        beat.zone = "a";
+        beat.uptime_ms = long_ago_ms;
+        for (auto address = 2U; address < 10; ++address) {
+            note_heartbeat(group, known, address, heartbeat(beat), test_start);
+        }
+        beat.uptime_ms = 10;
+        for (auto address = 10U; address < 12; ++address) {
+            note_heartbeat(group, known, address, heartbeat(beat), test_start);
+        }
+        CPPUNIT_ASSERT(is_way_sound(known, 0, test_start));
+        note_heartbeat(group, known, 12, heartbeat(beat), test_start);
+        note_heartbeat(group, known, 13, heartbeat(beat), test_start);
+        CPPUNIT_ASSERT(!is_way_sound(known, 0, test_start));
+    }
+
     // A delayed datagram told loads and a revision of a while ago, and that the host did not leave.
     auto late_heartbeat_of_an_earlier_state_is_ignored() -> void {
         auto known = directory{};
