--- a/src/edge/suspicion_func.h
+++ b/src/edge/suspicion_func.h
@@ -43,8 +43,9 @@
 // Silent targets, or half of all if these are fewer, that make a host believe itself cut off.
 constexpr std::size_t cut_off_targets = 8;
 
-// After this host or many of the zone have started, clients retransmit what was lost before and during the start, with
-// pauses of 200, 400 and 800 ms, and flows change hosts. Silence says nothing of targets for that time.
+// After this host or many of the zone have started, clients retransmit what was lost before and during the
+// start, with pauses of 200, 400 and 800 ms, and flows change hosts. Silence says nothing of targets for that
+// time.
 constexpr std::int64_t settle_ms = 2000;
 
 // What a sign did to the belief in a target.
@@ -79,8 +80,8 @@
 // answered it. A doubted target is dead then.
 auto note_silent_opening(directory& known, target_index index, time_ms sent, time_ms at) -> suspicion_change;
 
-// Notes that this host, or one of many that start in the zone, has been running since `started`. For `settle_ms` after it
-// no target is taken for dead, and what seemed to be one is forgotten.
+// Notes that this host, or one of many that start in the zone, has been running since `started`. For
+// `settle_ms` after it no target is taken for dead, and what seemed to be one is forgotten.
 auto note_start_in_zone(directory& known, time_ms started, time_ms at) -> void;
 
 // Returns whether targets of several zones, where there are several, leave openings unanswered, and so many
