--- a/src/edge/admission_func.h
+++ b/src/edge/admission_func.h
@@ -42,7 +42,8 @@
 // The bytes of an opening packet, which has no data.
 using opening_packet = std::array<std::uint8_t, bare_packet_bytes>;
 
-// An opening packet that waits in this host. No target has got it, so a reset that says so is true.
+// An opening packet that waits in this host. A request follows only once the client has the answer to it, so
+// a reset that says that nothing has run is true.
 struct waiting_opening {
     flow_key flow;
     time_ms arrived;
