Fix: [suspicion] A full target at work is not presumed dead

Cause: a full target answers neither SYNs nor data until a request is done. Three flows that retransmitted after 200 ms started a liveness check, the check sent two SYNs to this full target, others answered them after 20 ms, and the target was presumed dead. The time in which a live target answers was not considered. Change: a failed check only keeps new flows away. Flows are reset when the requests of this host at the target have waited, without any progress, so long that a live target would have answered 12 of them, at one answer for each waiting request every five request times. A live target exceeds that once in 160,000 cases; a dead one after 0.5 s with 20 requests a second. Tests that expect a death now have other targets that answer in 15 ms, since a request time of 210 ms explains a silence of 255 ms.

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -134,6 +134,8 @@
         record.load.syn_backoff_until = {};
         record.load.presumed_dead_until = {};
         record.load.liveness_check_since = {};
+        record.load.has_failed_check = false;
+        record.load.waiting_ms = 0;
         record.load.answered_liveness_checks = 0;
         return directory_change::target_added;
     }
--- a/src/edge/flow_counts.cpp
+++ b/src/edge/flow_counts.cpp
@@ -1,5 +1,7 @@
 #include "edge/flow_counts_func.h"
 
+#include "edge/suspicion_func.h"
+
 namespace agatepost::edge {
 
 namespace {
@@ -20,6 +22,7 @@
     }
     flow.is_busy = is_busy;
     flow.busy_since = at;
+    accumulate_waiting_time(load_of(state, flow.target), at);
     auto& busy = load_of(state, flow.target).busy_flows;
     if (is_busy) {
         ++busy;
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -105,14 +105,10 @@
 
 // Records data of the client: a new request, more of one, or a retransmission.
 auto record_data(forwarding_state& state, flow_record& flow, const client_packet& packet, time_ms at)
-    -> void {
+    -> suspicion_change {
     const auto end = packet.sequence + packet.payload_bytes;
     if (!is_after(end, flow.highest_sequence)) {
-        const auto change = record_retransmission(state.known, flow.target, flow.stalled_epoch, at);
-        if (change == suspicion_change::dead) {
-            state.presumed_dead_targets.push_back(flow.target);
-        }
-        return;
+        return record_retransmission(state.known, flow.target, flow.stalled_epoch, at);
     }
     flow.highest_sequence = end;
     if (!flow.is_busy) {
@@ -120,6 +116,7 @@
         flow.found_free_slot = busy_per_slot(state.known.targets[flow.target]) < 1;
         set_busy(state, flow, true, at);
     }
+    return suspicion_change::none;
 }
 
 // Returns whether data to a target that is presumed dead ends its flow. Flows of non-idempotent routes go on:
@@ -224,14 +221,16 @@
         set_busy(state, flow, false, at);
     }
     const auto previous_sequence = flow.highest_sequence;
+    auto change = suspicion_change::none;
     if (packet.payload_bytes != 0) {
-        record_data(state, flow, packet, at);
+        change = record_data(state, flow, packet, at);
     }
     const auto is_left =
         is_reset_for_gone_target(packet, *route, target, previous_sequence == flow.highest_sequence, at);
     if (is_left || is_reset_for_dead_target(packet, *route, target.load, at)) {
         release_flow(state, flow, at);
         state.flows.erase(entry);
+        record_suspicion(state, index, change, at);
         return refuse(is_left ? packet_reason::target_left : packet_reason::target_dead);
     }
     if (packet.is_fin) {
@@ -239,6 +238,7 @@
         release_flow(state, flow, at);
         state.flows.erase(entry);
     }
+    record_suspicion(state, index, change, at);
     return forward;
 }
 
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -43,7 +43,7 @@
 
 // Returns whether the next SYNs go to the target for its liveness check.
 auto needs_liveness_probe(const target_load& load) -> bool {
-    return load.liveness_check_since != time_ms{} && load.pending_syns < presumed_dead_after_syns;
+    return load.liveness_check_since != time_ms{} && load.pending_syns < failed_check_after_syns;
 }
 
 // Selects the least loaded of the targets passed to `consider`.
--- a/src/edge/suspicion.cpp
+++ b/src/edge/suspicion.cpp
@@ -1,10 +1,13 @@
 #include "edge/suspicion_func.h"
 
+#include <absl/algorithm/container.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
 #include <string_view>
 
+#include "edge/placement_func.h"
+
 namespace agatepost::edge {
 
 namespace {
@@ -22,12 +25,57 @@
     return then != time_ms{} && at - then <= stall_evidence_max_age_ms;
 }
 
+// Returns the longest expected time of a request among the routes in use that lead to the service.
+auto longest_request_ms(const directory& known, const std::string& service) -> double {
+    auto longest = min_request_ms;
+    for (const auto& [key, route] : known.routes) {
+        if (route.requests != 0 && absl::c_linear_search(route.services, service)) {
+            longest = std::max(longest, expected_request_ms(route));
+        }
+    }
+    return longest;
+}
+
+// Marks the target as presumed dead if it failed its liveness check, or answered nothing but SYNs, and its
+// silence is conclusive.
+auto presume_dead_if_conclusive(directory& known, target_index index, time_ms at) -> suspicion_change {
+    auto& load = known.targets[index].load;
+    const auto is_unresponsive =
+        load.has_failed_check || load.answered_liveness_checks >= hung_after_liveness_checks;
+    if (!is_unresponsive || at < load.presumed_dead_until || !is_path_healthy(known, index, at) ||
+        !is_silence_conclusive(known, index, at)) {
+        return suspicion_change::none;
+    }
+    load.presumed_dead_until = at + presumed_dead_ms;
+    return suspicion_change::dead;
+}
+
 }  // namespace
 
+auto accumulate_waiting_time(target_load& load, time_ms at) -> void {
+    load.waiting_ms += static_cast<std::int64_t>(load.busy_flows) * (at - load.waiting_updated);
+    load.waiting_updated = at;
+}
+
+auto clear_waiting_time(target_load& load, time_ms at) -> void {
+    load.waiting_ms = 0;
+    load.waiting_updated = at;
+}
+
+auto is_silence_conclusive(const directory& known, target_index index, time_ms at) -> bool {
+    const auto& target = known.targets[index];
+    auto load = target.load;
+    accumulate_waiting_time(load, at);
+    const auto request_ms = longest_request_ms(known, target.entry.service);
+    return static_cast<double>(load.waiting_ms) >=
+           conclusive_missing_answers * max_requests_per_slot * request_ms;
+}
+
 auto clear_stalls(target_load& load) -> void {
     ++load.progress_epoch;
     load.stalled_flows = 0;
     load.liveness_check_since = {};
+    load.has_failed_check = false;
 }
 
 auto record_syn_timeout(target_load& load, time_ms at) -> void {
@@ -45,6 +93,7 @@
 
 auto record_progress(target_load& load, time_ms at) -> void {
     clear_stalls(load);
+    clear_waiting_time(load, at);
     load.last_answer = at;
     load.syn_backoffs = 0;
     load.presumed_dead_until = {};
@@ -57,6 +106,7 @@
         ++load.answered_liveness_checks;
         clear_stalls(load);
     }
+    load.has_failed_check = false;
     load.last_answer = at;
     load.syn_backoffs = 0;
     load.syn_backoff_until = {};
@@ -69,22 +119,24 @@
     if (load.stalled_flows != 0 && at - load.last_stall > stall_evidence_max_age_ms) {
         clear_stalls(load);
     }
-    if (stalled_epoch == load.progress_epoch || at < known.startup_grace_until) {
+    if (at < known.startup_grace_until) {
+        clear_waiting_time(load, at);
         return suspicion_change::none;
     }
-    stalled_epoch = load.progress_epoch;
-    load.last_stall = at;
-    if (++load.stalled_flows < liveness_check_after_stalled_flows || load.liveness_check_since != time_ms{}) {
-        return suspicion_change::none;
+    if (stalled_epoch != load.progress_epoch) {
+        stalled_epoch = load.progress_epoch;
+        load.last_stall = at;
+        ++load.stalled_flows;
     }
-    load.liveness_check_since = at;
-    load.last_liveness_check = at;
-    load.unanswered_check_syns = 0;
-    if (load.answered_liveness_checks < hung_after_liveness_checks || !is_path_healthy(known, index, at)) {
+    if (load.stalled_flows < liveness_check_after_stalled_flows) {
         return suspicion_change::none;
     }
-    load.presumed_dead_until = at + presumed_dead_ms;
-    return suspicion_change::dead;
+    if (load.liveness_check_since == time_ms{} && !load.has_failed_check) {
+        load.liveness_check_since = at;
+        load.last_liveness_check = at;
+        load.unanswered_check_syns = 0;
+    }
+    return presume_dead_if_conclusive(known, index, at);
 }
 
 auto record_unanswered_syn(directory& known, target_index index, time_ms sent, time_ms at)
@@ -96,15 +148,13 @@
         change = suspicion_change::suspect;
     }
     if (load.liveness_check_since == time_ms{} || sent < load.liveness_check_since ||
-        ++load.unanswered_check_syns < presumed_dead_after_syns) {
+        ++load.unanswered_check_syns < failed_check_after_syns) {
         return change;
     }
     load.liveness_check_since = {};
-    if (!is_path_healthy(known, index, at)) {
-        return change;
-    }
-    load.presumed_dead_until = at + presumed_dead_ms;
-    return suspicion_change::dead;
+    load.has_failed_check = true;
+    const auto outcome = presume_dead_if_conclusive(known, index, at);
+    return outcome == suspicion_change::none ? change : outcome;
 }
 
 auto extend_startup_grace(directory& known, time_ms started, time_ms at) -> void {
@@ -119,6 +169,7 @@
     }
     for (auto& target : known.targets) {
         clear_stalls(target.load);
+        clear_waiting_time(target.load, at);
         target.load.presumed_dead_until = {};
     }
 }
--- a/src/edge/suspicion_func.h
+++ b/src/edge/suspicion_func.h
@@ -4,8 +4,14 @@
 // Without it, clients of a dead target wait until its registration lapses. Unanswered SYNs and
 // retransmissions also occur when the host's own packets are lost, when its link is full, and while hosts of
 // its zone start. They count against a target only while at least as many other targets make progress through
-// this host as stall. Tests: `flows_of_a_dead_target_are_reset` in tests/edge_forwarding_test.cpp,
-// `lossy_path_resets_no_open_flow` in tests/edge_suspicion_test.cpp.
+// this host as stall.
+//
+// A full target is as silent as a dead one: it answers neither SYNs nor data until a request is done. It
+// differs only in that its requests are answered over time. So a silent target gets no new flows at once, and
+// its flows are reset only when a live target would have answered some of them; see `is_silence_conclusive`.
+// Tests: `flows_of_a_dead_target_are_reset` in tests/edge_forwarding_test.cpp,
+// `lossy_path_resets_no_open_flow` and `full_target_at_work_is_not_presumed_dead` in
+// tests/edge_suspicion_test.cpp.
 #pragma once
 
 #include <cstdint>
@@ -22,11 +28,23 @@
 constexpr std::int64_t max_suspect_ms = 3200;
 
 // Flows of a target that retransmit without progress of any before a liveness check starts: the next SYNs go
-// to the target, and if they stay unanswered, it is presumed dead for `presumed_dead_ms`. Under overload a
-// live target leaves requests unanswered as long as a dead one, but it answers SYNs.
+// to the target. If they stay unanswered, the check has failed, and once its silence is conclusive the target
+// is presumed dead for `presumed_dead_ms`.
 constexpr std::uint32_t liveness_check_after_stalled_flows = 3;
 constexpr std::int64_t presumed_dead_ms = 1000;
 
+// Requests in progress and in the queue of a full target, per slot. A live target answers each of its waiting
+// requests at least once in this many request times, on average.
+constexpr double max_requests_per_slot = 5;
+
+// Shortest time of a request that is assumed, in milliseconds. Round trips and late timers take some
+// milliseconds even where the work takes none.
+constexpr double min_request_ms = 10;
+
+// Number of answers that a live target would have given meanwhile from which its silence is conclusive. If
+// answers come at random, a live target stays silent for so long once in 160,000 cases (e^-12).
+constexpr double conclusive_missing_answers = 12;
+
 // Stalls and answers older than this are ignored. Clients retransmit after pauses of up to 1.6 s, the first
 // three of which are shorter than this.
 constexpr std::int64_t stall_evidence_max_age_ms = 1000;
@@ -56,6 +74,17 @@
     dead,     // presumed dead: as a suspect, and its flows with repeatable requests are reset
 };
 
+// Adds the time since the last call to the waiting time of the target's requests. Called before the number
+// of its busy flows changes.
+auto accumulate_waiting_time(target_load& load, time_ms at) -> void;
+
+// Forgets the waiting time so far, which is no evidence against the target.
+auto clear_waiting_time(target_load& load, time_ms at) -> void;
+
+// Returns whether the requests of this host at the target have waited for so long without any progress that
+// a live target, even a full one, would have answered some of them.
+auto is_silence_conclusive(const directory& known, target_index index, time_ms at) -> bool;
+
 // Clears the count of stalled flows and ends a liveness check.
 auto clear_stalls(target_load& load) -> void;
 
@@ -75,12 +104,14 @@
 
 // Records a retransmission of a flow whose stalled epoch is `stalled_epoch`. Enough stalled flows start a
 // liveness check, or make the target presumed dead if it has answered only SYNs for
-// `hung_after_liveness_checks` checks.
+// `hung_after_liveness_checks` checks. A target that failed its check is presumed dead when its silence has
+// become conclusive.
 auto record_retransmission(directory& known, target_index index, std::uint32_t& stalled_epoch, time_ms at)
     -> suspicion_change;
 
 // Records that a SYN sent at `sent` was answered by another target, but not by this one. During a liveness
-// check, `presumed_dead_after_syns` of these make the target presumed dead.
+// check, `failed_check_after_syns` of these fail the check, and make the target presumed dead if its silence
+// is conclusive.
 auto record_unanswered_syn(directory& known, target_index index, time_ms sent, time_ms at)
     -> suspicion_change;
 
--- a/tests/edge_forwarding_test.cpp
+++ b/tests/edge_forwarding_test.cpp
@@ -311,13 +311,13 @@
 
     // Sends SYNs to the target under a liveness check, which another target answers after the time-out.
     static auto send_unanswered_syns(forwarding_state& state, std::uint16_t first_port, time_ms at) -> void {
-        for (auto i = std::uint16_t{0}; i < presumed_dead_after_syns; ++i) {
+        for (auto i = std::uint16_t{0}; i < failed_check_after_syns; ++i) {
             const auto port = static_cast<std::uint16_t>(first_port + i);
             CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
                                  name_of(state, handle_packet(state, client_syn(port), current_view, at)));
         }
         collect_syn_retries(state, at + initial_syn_timeout_ms);
-        for (auto i = std::uint16_t{0}; i < presumed_dead_after_syns; ++i) {
+        for (auto i = std::uint16_t{0}; i < failed_check_after_syns; ++i) {
             handle_packet(state, handshake_ack(static_cast<std::uint16_t>(first_port + i), 2), current_view,
                           at + initial_syn_timeout_ms);
         }
--- a/tests/edge_suspicion_test.cpp
+++ b/tests/edge_suspicion_test.cpp
@@ -37,6 +37,16 @@
     }
 }
 
+// Acknowledges the response of the targets from this carrier on to the first request of each.
+auto answer_first_requests(forwarding_state& state, std::uint32_t first_carrier, std::uint32_t last_carrier,
+                           time_ms at) -> void {
+    for (auto carrier = first_carrier; carrier <= last_carrier; ++carrier) {
+        auto answer = handshake_ack(port_of(carrier, 0), carrier);
+        answer.acknowledgement += 500;
+        handle_packet(state, answer, current_view, at);
+    }
+}
+
 // Retransmits on all flows of a target. Returns how many are reset.
 auto retransmit(forwarding_state& state, std::uint32_t carrier, time_ms at) -> int {
     auto resets = 0;
@@ -68,6 +78,8 @@
     CPPUNIT_TEST_SUITE(edge_suspicion_test);
     CPPUNIT_TEST(lossy_path_resets_no_open_flow);
     CPPUNIT_TEST(dead_target_among_live_ones_is_detected);
+    CPPUNIT_TEST(full_target_at_work_is_not_presumed_dead);
+    CPPUNIT_TEST(dead_target_is_detected_before_its_registration_lapses);
     CPPUNIT_TEST(non_idempotent_request_at_dead_target_is_never_reset);
     CPPUNIT_TEST(start_of_a_host_of_the_zone_makes_no_target_presumed_dead);
     CPPUNIT_TEST(start_in_another_zone_does_not_delay_detection);
@@ -97,15 +109,49 @@
     auto dead_target_among_live_ones_is_detected() -> void {
         auto state = test_state(targets_of(6));
         open_flows(state, 6, true, test_start);
-        auto at = test_start + retransmission_ms;
-        for (auto carrier = 2U; carrier <= 6; ++carrier) {
-            handle_packet(state, data(port_of(carrier, 0), carrier, 100, 500), current_view, at);
-        }
+        answer_first_requests(state, 2, 6, test_start + 15);
+        const auto at = test_start + retransmission_ms;
         retransmit(state, 1, at);
         CPPUNIT_ASSERT_EQUAL(std::size_t{flows_per_target}, open_with_lost_syns(state, 2000, 4, at + 5));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.presumed_dead_targets.size());
     }
 
+    // A burst of users fills the queue of a target. It answers neither SYNs nor data until requests are done,
+    // which takes longer than the client's first retransmission. Its open flows were reset.
+    auto full_target_at_work_is_not_presumed_dead() -> void {
+        auto state = test_state(targets_of(3), {{443, "desk", "idempotent", 600}});
+        open_flows(state, 3, true, test_start);
+        answer_first_requests(state, 2, 3, test_start + 72);
+        const auto at = test_start + retransmission_ms;
+        auto resets = retransmit(state, 1, at);
+        const auto dead = open_with_lost_syns(state, 2000, 4, at + 5);
+        resets += retransmit(state, 1, at + 2 * retransmission_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, dead);
+        CPPUNIT_ASSERT_EQUAL(0, resets);
+        CPPUNIT_ASSERT(state.presumed_dead_targets.empty());
+        // New flows avoid it all the same.
+        CPPUNIT_ASSERT(load(state, "i-1").suspect_until > at);
+    }
+
+    // Waiting for the registration to lapse would cost all clients of a dead target their request.
+    auto dead_target_is_detected_before_its_registration_lapses() -> void {
+        constexpr std::int64_t registration_lapse_ms = 2310;
+        constexpr std::int64_t step_ms = 200;
+        auto state = test_state(targets_of(3), {{443, "desk", "idempotent", 160}});
+        open_flows(state, 3, true, test_start);
+        answer_first_requests(state, 2, 3, test_start + 40);
+        auto resets = 0;
+        for (auto passed = step_ms; state.presumed_dead_targets.empty(); passed += step_ms) {
+            CPPUNIT_ASSERT(passed < registration_lapse_ms);
+            const auto at = test_start + passed;
+            resets += retransmit(state, 1, at);
+            open_with_lost_syns(state, static_cast<std::uint16_t>(2000 + 10 * passed), 4, at + 5);
+        }
+        // Clients are told at the decision or at their next retransmission.
+        resets += static_cast<int>(state.flows_to_reset.size());
+        CPPUNIT_ASSERT(resets >= int{flows_per_target});
+    }
+
     // The client must not repeat the request, since the target may have run it.
     auto non_idempotent_request_at_dead_target_is_never_reset() -> void {
         auto state = test_state(targets_of(2), {{443, "desk", "non_idempotent"}});
