Fix: [directory] An item of the store affects only the target of its own key

Cause: the directory matched a key to a target by its last part, so an unreadable or removed item of any key that ends in an id removed that target. Change: an item remembers the name of the target that its own last readable value registered, and only this target is affected. An unreadable value of a draining target no longer counts as its departure. Repeated unreadable values of a key are logged once and counted (edge_unreadable_items).

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -1,6 +1,7 @@
 #include <absl/algorithm/container.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "edge/directory_base.h"
 
@@ -227,10 +228,13 @@
     return directory_change::routes_changed;
 }
 
-// Returns the last part of a key, which is the name of the target.
-auto target_name(const std::string& key) -> std::string {
-    const auto slash = key.rfind('/');
-    return slash == std::string::npos ? key : key.substr(slash + 1);
+// Handles a registration that became unreadable: its target gets no new flows. Unlike a removal this does not
+// say that a draining target has ended its flows.
+auto apply_unreadable(directory& known, const std::string& target, time_ms at) -> void {
+    apply_removal(known, target, at);
+    if (const auto found = known.by_name.find(target); found != known.by_name.end()) {
+        known.targets[found->second].has_left = false;
+    }
 }
 
 // Drops the older half of the removals if there are more than `max_removals_kept`.
@@ -259,18 +263,21 @@
     if (stored.revision >= item.revision) {
         return {};
     }
-    stored = {item.value, item.revision, item.is_removed};
+    const auto previous = std::exchange(stored, {item.value, item.revision, item.is_removed});
     if (item.is_removed) {
-        const auto change = apply_removal(known, target_name(item.key), at);
+        const auto change = apply_removal(known, previous.target, at);
         limit_removals(known);
         return {change, std::nullopt};
     }
     auto meaning = known.platform->read_item(item.key, item.value);
     if (!meaning) {
-        apply_removal(known, target_name(item.key), at);
-        return {directory_change::unreadable, meaning.error()};
+        stored.is_unreadable = true;
+        apply_unreadable(known, previous.target, at);
+        return {directory_change::unreadable,
+                previous.is_unreadable ? std::nullopt : std::optional<error>(meaning.error())};
     }
     if (auto* entry = std::get_if<target_entry>(&*meaning)) {
+        stored.target = entry->name;
         return {apply_target(known, std::move(*entry), item.revision, at), std::nullopt};
     }
     if (auto* table = std::get_if<route_table>(&*meaning)) {
@@ -289,8 +296,8 @@
         }
     }
     for (const auto& key : missing) {
-        known.items[key] = {"", first_revision, true};
-        apply_removal(known, target_name(key), at);
+        const auto previous = std::exchange(known.items[key], {"", first_revision, true});
+        apply_removal(known, previous.target, at);
     }
     return missing;
 }
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -108,6 +108,8 @@
     std::string value;
     std::uint64_t revision = 0;
     bool is_removed = false;
+    std::string target;          // name of the target that it registers; empty: none
+    bool is_unreadable = false;  // the value cannot be read
 };
 
 // The change that an item made, for the log.
@@ -124,7 +126,7 @@
 // The outcome of applying one item.
 struct item_outcome {
     directory_change change = directory_change::none;
-    std::optional<error> fault;  // why the item is unreadable
+    std::optional<error> fault;  // why the item is unreadable; empty if its previous value was too
 };
 
 // The content of the store as known to this host. Only the functions below change it.
@@ -153,8 +155,8 @@
     return (static_cast<std::uint64_t>(address) << 16U) | port;
 }
 
-// Applies an item if it is newer than the known one. An unreadable registration removes its target; an
-// unreadable configuration leaves the previous one in use.
+// Applies an item if it is newer than the known one. An unreadable registration removes the target that its
+// key registered before, and no other; an unreadable configuration leaves the previous one in use.
 auto apply_item(directory& known, const store_item& item, time_ms at) -> item_outcome;
 
 // Removes the items that a complete listing lacks, except those newer than its first page. Returns their
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -195,8 +195,11 @@
 }
 
 auto log_item(const store_item& item, const item_outcome& outcome, const directory& known) -> void {
-    if (outcome.fault) {
-        write_log(log_event::item_unreadable, {{"key", item.key}, {"fault", to_text(*outcome.fault)}});
+    if (outcome.change == directory_change::unreadable) {
+        count(counter::edge_unreadable_items);
+        if (outcome.fault) {
+            write_log(log_event::item_unreadable, {{"key", item.key}, {"fault", to_text(*outcome.fault)}});
+        }
     } else if (outcome.change == directory_change::routes_changed) {
         write_log(log_event::configuration_applied, {{"revision", std::to_string(item.revision)},
                                                      {"version", std::to_string(known.configuration_version)},
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -91,5 +91,6 @@
 COUNTER(edge_not_of_a_client, "one-way path: dropped, an answer to an opening that no client sends")
 COUNTER(edge_send_failed, "one-way path: dropped, the socket did not take the packet")
 COUNTER(edge_handler_failures, "one-way path: events whose handling an unexpected error ended")
+COUNTER(edge_unreadable_items, "one-way path: items of the store whose new value cannot be read")
 COUNTER(edge_store_failures, "one-way path: times that the store was lost")
 COUNTER(edge_log_lines_dropped, "log lines dropped because standard output was full")
--- a/tests/edge_directory_test.cpp
+++ b/tests/edge_directory_test.cpp
@@ -11,6 +11,10 @@
     CPPUNIT_TEST(older_item_changes_nothing);
     CPPUNIT_TEST(lower_version_does_not_revert_routes);
     CPPUNIT_TEST(unreadable_registration_removes_its_target);
+    CPPUNIT_TEST(unreadable_item_affects_no_target_of_another_key);
+    CPPUNIT_TEST(removal_affects_no_target_of_another_key);
+    CPPUNIT_TEST(unreadable_registration_of_a_draining_target_resets_no_flow);
+    CPPUNIT_TEST(repeated_unreadable_value_is_reported_once);
     CPPUNIT_TEST(unreadable_configuration_keeps_the_previous_one);
     CPPUNIT_TEST(removed_target_is_gone_but_its_carrier_is_known);
     CPPUNIT_TEST(lapsed_target_stays_in_use_for_the_grace_period);
@@ -56,6 +60,46 @@
         CPPUNIT_ASSERT(state_of(state, "i-2") == presence::registered);
     }
 
+    // Keys were matched to targets by their last part: after a restart no request was served.
+    auto unreadable_item_affects_no_target_of_another_key() -> void {
+        auto state = test_state({{"i-1"}});
+        for (const auto* key : {"servers/a/i-1", "other/i-1"}) {
+            apply_item(state.known, {key, "{\"service\":\"desk\"}", 10, false}, test_start);
+            CPPUNIT_ASSERT(state_of(state, "i-1") == presence::registered);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
+                             name_of(state, handle_packet(state, client_syn(1), current_view, test_start)));
+    }
+
+    // The open flows of a draining target were reset when another writer removed its own entry.
+    auto removal_affects_no_target_of_another_key() -> void {
+        auto state = test_state({{"i-1", "desk", "a", "10.1.64.1:8000", "draining"}});
+        apply_item(state.known, {"servers/a/i-1", "{}", 10, false}, test_start);
+        apply_item(state.known, {"servers/a/i-1", "", 11, true}, test_start);
+        remove_unlisted(state.known, {{"op/config", true}, {"servers/i-1", true}}, 20, test_start);
+        CPPUNIT_ASSERT(state_of(state, "i-1") == presence::registered);
+        CPPUNIT_ASSERT(!state.known.targets[0].has_left);
+    }
+
+    auto unreadable_registration_of_a_draining_target_resets_no_flow() -> void {
+        auto state = test_state({{"i-1"}});
+        const auto carrier = open_flow(state, 1, test_start);
+        apply_item(state.known, target_item({"i-1", "desk", "a", "10.1.64.1:8000", "draining"}, 10),
+                   test_start);
+        apply_item(state.known, {"servers/i-1", "{}", 11, false}, test_start);
+        const auto verdict = handle_packet(state, data(1, carrier, 0), current_view, test_start + 10);
+        CPPUNIT_ASSERT(verdict.action == packet_action::forward);
+    }
+
+    // A faulty writer repeats its entry with each heartbeat.
+    auto repeated_unreadable_value_is_reported_once() -> void {
+        auto state = test_state({});
+        CPPUNIT_ASSERT(apply_item(state.known, {"servers/i-1", "{}", 10, false}, test_start).fault);
+        const auto again = apply_item(state.known, {"servers/i-1", "{]", 11, false}, test_start);
+        CPPUNIT_ASSERT(again.change == directory_change::unreadable);
+        CPPUNIT_ASSERT(!again.fault);
+    }
+
     auto unreadable_configuration_keeps_the_previous_one() -> void {
         auto state = test_state({});
         const auto outcome = apply_item(state.known, {"op/config", "{]", 10, false}, test_start);
