Fix: [platform] An incomplete registration names no target

Cause: entries without version, call-seq and born, and with more than an id in the key, were read as registrations. Their id has the same digits as that of a live target, so they took over its carrier. Evidence: error_names_the_field_of_an_invalid_registration and key_with_more_than_an_id_registers_no_target fail without the change.

--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(error_names_the_invalid_setting);
     CPPUNIT_TEST(registration_is_read);
     CPPUNIT_TEST(error_names_the_field_of_an_invalid_registration);
+    CPPUNIT_TEST(key_with_more_than_an_id_registers_no_target);
     CPPUNIT_TEST(longer_id_keeps_its_tag_and_has_a_carrier);
     CPPUNIT_TEST(configuration_is_read);
     CPPUNIT_TEST(error_names_route_and_field_of_an_invalid_configuration);
@@ -194,7 +195,8 @@
     }
 
     auto error_names_the_field_of_an_invalid_registration() -> void {
-        for (const auto* field : {"service", "address", "zone", "state", "slots", "cold-remaining-ms"}) {
+        for (const auto* field : {"service", "address", "zone", "state", "slots", "cold-remaining-ms",
+                                  "version", "call-seq", "born"}) {
             CPPUNIT_ASSERT(fault_of_target(field, nullptr).find(field) != std::string::npos);
             CPPUNIT_ASSERT(fault_of_target(field, nlohmann::json::array()).find(field) != std::string::npos);
         }
@@ -202,7 +204,14 @@
         CPPUNIT_ASSERT(fault_of_target("slots", 0).find("slots") != std::string::npos);
         CPPUNIT_ASSERT(fault_of_target("slots", -1).find("slots") != std::string::npos);
         CPPUNIT_ASSERT(fault_of_target("address", "10.0.0.1:99999").find("address") != std::string::npos);
-        CPPUNIT_ASSERT_EQUAL(std::string(), fault_of_target("born", nullptr));
+        CPPUNIT_ASSERT(fault_of_target("call-seq", "3").find("call-seq") != std::string::npos);
+        CPPUNIT_ASSERT(fault_of_target("born", 1.5).find("born") != std::string::npos);
+    }
+
+    // Another writer's entry took over the carrier of a target, so its flows were led elsewhere.
+    auto key_with_more_than_an_id_registers_no_target() -> void {
+        const auto item = target_item({"a/i-1"}, 1);
+        CPPUNIT_ASSERT(!test_platform().read_item(item.key, item.value));
     }
 
     auto longer_id_keeps_its_tag_and_has_a_carrier() -> void {
