Fix: [liveness-query] A target is presumed dead only if no host has seen an answer

Cause: in a burst, new flows of other hosts' clients take each place that becomes free at a full target, and all copies of this host's waiting requests are dropped. Silence towards one host says nothing of the target, however many requests wait. Change: a target that failed its liveness check and left a request waiting for eight request times is asked about at all hosts of the fleet. A host answers with the age of the last answer that it has seen of the target, and nothing in its startup grace period. Any younger answer ends the query; only if all live hosts confirm the silence are flows reset. In fleets of more than 12 other hosts none is. The waiting time of all requests together, the former criterion, is gone. Why it works: a live target with waiting requests has all slots at work, so answers are due each request time.

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -136,7 +136,7 @@
         record.load.presumed_dead_until = {};
         record.load.liveness_check_since = {};
         record.load.has_failed_check = false;
-        record.load.waiting_ms = 0;
+        record.load.waiting_since = at;
         record.load.answered_liveness_checks = 0;
         return directory_change::target_added;
     }
@@ -263,7 +263,7 @@
     if (stored.revision >= item.revision) {
         return {};
     }
-    const auto previous = std::exchange(stored, {item.value, item.revision, item.is_removed});
+    const auto previous = std::exchange(stored, {item.value, item.revision, item.is_removed, {}, false});
     if (item.is_removed) {
         const auto change = apply_removal(known, previous.target, at);
         limit_removals(known);
@@ -296,7 +296,7 @@
         }
     }
     for (const auto& key : missing) {
-        const auto previous = std::exchange(known.items[key], {"", first_revision, true});
+        const auto previous = std::exchange(known.items[key], {"", first_revision, true, {}, false});
         apply_removal(known, previous.target, at);
     }
     return missing;
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -53,8 +53,7 @@
     time_ms liveness_check_since;             // start of the present liveness check; zero: none
     std::uint32_t unanswered_check_syns = 0;  // unanswered SYNs sent during the present check
     bool has_failed_check = false;            // the last check failed, and nothing was answered since
-    std::int64_t waiting_ms = 0;              // sum over busy flows of their time since the last progress
-    time_ms waiting_updated;                  // when `waiting_ms` was updated
+    time_ms waiting_since;                    // a request of this host waits since, without any progress
     std::uint32_t answered_liveness_checks = 0;  // consecutive checks that an answered SYN ended
     std::uint32_t syn_backoffs = 0;              // consecutive pauses after unanswered SYNs
     time_ms syn_backoff_until;    // end of the pause after an unanswered SYN: full or unreachable
@@ -70,8 +69,7 @@
                a.last_liveness_check == b.last_liveness_check &&
                a.liveness_check_since == b.liveness_check_since &&
                a.unanswered_check_syns == b.unanswered_check_syns &&
-               a.has_failed_check == b.has_failed_check && a.waiting_ms == b.waiting_ms &&
-               a.waiting_updated == b.waiting_updated &&
+               a.has_failed_check == b.has_failed_check && a.waiting_since == b.waiting_since &&
                a.answered_liveness_checks == b.answered_liveness_checks && a.syn_backoffs == b.syn_backoffs &&
                a.syn_backoff_until == b.syn_backoff_until && a.suspect_until == b.suspect_until &&
                a.presumed_dead_until == b.presumed_dead_until;
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -18,6 +18,7 @@
 #include "edge/event_loop_base.h"
 #include "edge/forwarding_base.h"
 #include "edge/http_base.h"
+#include "edge/liveness_query_func.h"
 #include "edge/packet_io_base.h"
 #include "edge/peer_group_base.h"
 #include "edge/store_follower_base.h"
@@ -132,7 +133,11 @@
     auto send_waited_syns(const std::vector<waited_opening>& waited) -> void;
     auto handle_silent_targets(time_ms at) -> void;
     auto reset_flows_of_dead_targets(time_ms at) -> void;
-    auto handle_heartbeats() -> void;
+    auto handle_peer_messages() -> void;
+    auto handle_heartbeat(std::string_view bytes, std::uint32_t sender, time_ms at) -> void;
+    auto handle_liveness_message(const liveness_message& message, std::uint32_t sender, time_ms at) -> void;
+    auto send_to_peers(const std::string& bytes, const std::vector<std::uint32_t>& receivers) -> void;
+    auto query_liveness(time_ms at) -> void;
     auto send_heartbeats(time_ms at) -> void;
     auto add_seeds(std::vector<std::uint32_t>& receivers, time_ms at) -> void;
     auto report_loads(time_ms at) -> void;
@@ -192,6 +197,7 @@
     time_ms reported_age_at_;
     std::vector<std::uint32_t> assignment_hosts_;  // other hosts that the targets of the zone are assigned to
     std::uint64_t assignment_revision_ = 0;
+    std::vector<liveness_query> queries_;
     std::vector<char> heartbeat_buffer_ = std::vector<char>(max_heartbeat_bytes);
     time_ms next_load_report_;
     std::uint32_t instance_ = 0;  // random number of this instance
@@ -227,7 +233,7 @@
 }
 
 auto edge_host::open() -> result<void> {
-    auto watched = loop_.add(peer_packets_.fd(), EPOLLIN, [this](std::uint32_t) { handle_heartbeats(); })
+    auto watched = loop_.add(peer_packets_.fd(), EPOLLIN, [this](std::uint32_t) { handle_peer_messages(); })
                        .and_then([this] { return ready_server_.listen(settings_.ready_address); })
                        .and_then([this] { return sync_server_.listen(settings_.sync_address); })
                        .and_then([this] { return metrics_server_.listen(settings_.metrics_address); });
@@ -382,8 +388,12 @@
     for (const auto index : state_.presumed_dead_targets) {
         log_presumed_dead(state_.known.targets[index]);
     }
+    for (const auto index : state_.unresponsive_targets) {
+        begin_liveness_query(queries_, state_.known, index, at);
+    }
     state_.suspected_targets.clear();
     state_.presumed_dead_targets.clear();
+    state_.unresponsive_targets.clear();
     if (!state_.flows_to_reset.empty()) {
         reset_flows_of_dead_targets(at);
     }
@@ -409,10 +419,9 @@
     state_.flows_to_reset.clear();
 }
 
-auto edge_host::handle_heartbeats() -> void {
+auto edge_host::handle_peer_messages() -> void {
     const auto at = boot_now();
     auto from = sockaddr_in{};
-    has_new_reports_ = true;
     for (auto i = std::size_t{0}; i < packet_batch; ++i) {
         auto length = socklen_t{sizeof(from)};
         const auto got = recvfrom(peer_packets_.fd(), heartbeat_buffer_.data(), heartbeat_buffer_.size(),
@@ -420,24 +429,57 @@
         if (got <= 0) {
             return;
         }
-        auto beat =
-            decode_heartbeat(std::string_view(heartbeat_buffer_.data(), static_cast<std::size_t>(got)));
-        if (!beat) {
-            count(counter::edge_malformed);
-            continue;
-        }
+        const auto bytes = std::string_view(heartbeat_buffer_.data(), static_cast<std::size_t>(got));
         const auto sender = ntohl(from.sin_addr.s_addr);
-        state_.reach.last_peer_heard = at;
-        const auto zone = beat->zone;
-        if (record_heartbeat(group_, state_.known, sender, std::move(*beat), at)) {
-            if (logs_peers_of(zone)) {
-                write_log(log_event::peer_alive, {{"peer", address_text(sender)}, {"peer_zone", zone}});
-            }
-            send_heartbeat_to({sender}, at);  // announces this host to it at once
+        if (const auto message = decode_liveness_message(bytes)) {
+            handle_liveness_message(*message, sender, at);
+        } else {
+            handle_heartbeat(bytes, sender, at);
         }
     }
 }
 
+auto edge_host::handle_heartbeat(std::string_view bytes, std::uint32_t sender, time_ms at) -> void {
+    has_new_reports_ = true;
+    auto beat = decode_heartbeat(bytes);
+    if (!beat) {
+        count(counter::edge_malformed);
+        return;
+    }
+    state_.reach.last_peer_heard = at;
+    const auto zone = beat->zone;
+    if (record_heartbeat(group_, state_.known, sender, std::move(*beat), at)) {
+        if (logs_peers_of(zone)) {
+            write_log(log_event::peer_alive, {{"peer", address_text(sender)}, {"peer_zone", zone}});
+        }
+        send_heartbeat_to({sender}, at);  // announces this host to it at once
+    }
+}
+
+auto edge_host::handle_liveness_message(const liveness_message& message, std::uint32_t sender, time_ms at)
+    -> void {
+    if (!message.asked.empty()) {
+        send_to_peers(encode_liveness_message(answer_question(state_.known, message, at)), {sender});
+        return;
+    }
+    record_liveness_answer(queries_, state_.known, sender, message, at);
+}
+
+// Asks the other hosts about unresponsive targets, and resets the flows of those that no host finds alive.
+auto edge_host::query_liveness(time_ms at) -> void {
+    if (queries_.empty()) {
+        return;
+    }
+    const auto question = unsent_question(queries_, state_.known);
+    if (!question.asked.empty() && !is_large_fleet(group_)) {
+        send_to_peers(encode_liveness_message(question), heartbeat_receivers(group_, at, state_.random));
+    }
+    for (const auto index : collect_dead_targets(queries_, state_.known, group_, at)) {
+        presume_dead(state_, index, at);
+    }
+    handle_silent_targets(at);
+}
+
 auto edge_host::make_heartbeat(time_ms at) -> heartbeat {
     auto beat = heartbeat{};
     beat.zone = settings_.zone;
@@ -500,12 +542,16 @@
         return 0;
     }
     const auto bytes = encode_heartbeat(make_heartbeat(at));
+    send_to_peers(bytes, receivers);
+    return bytes.size();
+}
+
+auto edge_host::send_to_peers(const std::string& bytes, const std::vector<std::uint32_t>& receivers) -> void {
     for (const auto address : receivers) {
         peer_packets_.queue(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size(), address,
                             settings_.peer_address.port);
     }
     peer_packets_.send_all();
-    return bytes.size();
 }
 
 // Evaluates the reports of other hosts after new heartbeats, and every peer_check_ms.
@@ -718,6 +764,7 @@
 auto edge_host::run_due_tasks(time_ms at) -> void {
     send_syn_retries(at);
     send_waited_syns(collect_waited_syns(state_, at));
+    query_liveness(at);
     evaluate_peer_reports(at);
     follower_.on_timer(at);
     send_heartbeats(at);
--- a/src/edge/flow_counts.cpp
+++ b/src/edge/flow_counts.cpp
@@ -1,7 +1,5 @@
 #include "edge/flow_counts_func.h"
 
-#include "edge/suspicion_func.h"
-
 namespace agatepost::edge {
 
 namespace {
@@ -22,9 +20,10 @@
     }
     flow.is_busy = is_busy;
     flow.busy_since = at;
-    accumulate_waiting_time(load_of(state, flow.target), at);
-    auto& busy = load_of(state, flow.target).busy_flows;
+    auto& load = load_of(state, flow.target);
+    auto& busy = load.busy_flows;
     if (is_busy) {
+        load.waiting_since = busy == 0 ? at : load.waiting_since;
         ++busy;
     } else {
         decrement(busy);
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -43,14 +43,12 @@
     });
 }
 
-// Records that a target became suspect or presumed dead, for the log, and collects the flows of a dead one.
-auto record_suspicion(forwarding_state& state, target_index index, suspicion_change change, time_ms at)
-    -> void {
+// Records that a target became a suspect or unresponsive, for the caller.
+auto record_suspicion(forwarding_state& state, target_index index, suspicion_change change) -> void {
     if (change == suspicion_change::suspect) {
         state.suspected_targets.push_back(index);
-    } else if (change == suspicion_change::dead) {
-        state.presumed_dead_targets.push_back(index);
-        collect_flows_to_reset(state, index, at);
+    } else if (change == suspicion_change::unresponsive) {
+        state.unresponsive_targets.push_back(index);
     }
 }
 
@@ -67,7 +65,7 @@
         record_answered_syn(load_of(state, index), at);
         for (auto silent = flow.tried.begin(); silent != answered; ++silent) {
             record_suspicion(state, *silent,
-                             record_unanswered_syn(state.known, *silent, flow.syn_sent_at, at), at);
+                             record_unanswered_syn(state.known, *silent, flow.syn_sent_at, at));
         }
     }
     forget_tried_targets(state, flow);
@@ -230,7 +228,7 @@
     if (is_left || is_reset_for_dead_target(packet, *route, target.load, at)) {
         release_flow(state, flow, at);
         state.flows.erase(entry);
-        record_suspicion(state, index, change, at);
+        record_suspicion(state, index, change);
         return refuse(is_left ? packet_reason::target_left : packet_reason::target_dead);
     }
     if (packet.is_fin) {
@@ -238,7 +236,7 @@
         release_flow(state, flow, at);
         state.flows.erase(entry);
     }
-    record_suspicion(state, index, change, at);
+    record_suspicion(state, index, change);
     return forward;
 }
 
@@ -261,6 +259,11 @@
     return handle_established(state, packet, context, at);
 }
 
+auto presume_dead(forwarding_state& state, target_index index, time_ms at) -> void {
+    state.presumed_dead_targets.push_back(index);
+    collect_flows_to_reset(state, index, at);
+}
+
 auto record_pause(forwarding_state& state, time_ms at) -> void {
     state.pending.clear();
     record_answer(state.reach);
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -139,6 +139,7 @@
     std::vector<flow_to_reset> flows_to_reset;        // reset and emptied by the caller of handle_packet
     std::vector<target_index> presumed_dead_targets;  // for the log; emptied by the caller
     std::vector<target_index> suspected_targets;      // for the log; emptied by the caller
+    std::vector<target_index> unresponsive_targets;   // to ask other hosts about; emptied by the caller
     std::minstd_rand random{1};
 };
 
@@ -149,11 +150,13 @@
     syn_packet syn_bytes{};             // of a SYN without data, to send it later or to another target
 };
 
-// Decides on a client's packet and updates the state of its flow and target. If the target is presumed dead
-// from now on, its flows to reset are added to `flows_to_reset`.
+// Decides on a client's packet and updates the state of its flow and target.
 auto handle_packet(forwarding_state& state, const client_packet& packet, const packet_context& context,
                    time_ms at) -> packet_verdict;
 
+// Records that a target is presumed dead, for the log, and adds its flows to reset to `flows_to_reset`.
+auto presume_dead(forwarding_state& state, target_index index, time_ms at) -> void;
+
 // Records that this process was paused. Missing answers during a pause are no evidence of a target failure:
 // answers and retransmissions went through other hosts or wait in the socket.
 auto record_pause(forwarding_state& state, time_ms at) -> void;
--- a/src/edge/suspicion.cpp
+++ b/src/edge/suspicion.cpp
@@ -27,7 +27,7 @@
 
 // Returns the longest expected time of a request among the routes in use that lead to the service.
 auto longest_request_ms(const directory& known, const std::string& service) -> double {
-    auto longest = min_request_ms;
+    auto longest = 0.0;
     for (const auto& [key, route] : known.routes) {
         if (route.requests != 0 && absl::c_linear_search(route.services, service)) {
             longest = std::max(longest, expected_request_ms(route));
@@ -36,39 +36,30 @@
     return longest;
 }
 
-// Marks the target as presumed dead if it failed its liveness check, or answered nothing but SYNs, and its
-// silence is conclusive.
-auto presume_dead_if_conclusive(directory& known, target_index index, time_ms at) -> suspicion_change {
-    auto& load = known.targets[index].load;
-    const auto is_unresponsive =
-        load.has_failed_check || load.answered_liveness_checks >= hung_after_liveness_checks;
-    if (!is_unresponsive || at < load.presumed_dead_until || !is_path_healthy(known, index, at) ||
-        !is_silence_conclusive(known, index, at)) {
-        return suspicion_change::none;
-    }
-    load.presumed_dead_until = at + presumed_dead_ms;
-    return suspicion_change::dead;
-}
-
 }  // namespace
 
-auto accumulate_waiting_time(target_load& load, time_ms at) -> void {
-    load.waiting_ms += static_cast<std::int64_t>(load.busy_flows) * (at - load.waiting_updated);
-    load.waiting_updated = at;
+auto conclusive_silence_ms(const directory& known, target_index index) -> std::int64_t {
+    const auto request_ms = longest_request_ms(known, known.targets[index].entry.service);
+    return std::max(min_conclusive_silence_ms,
+                    static_cast<std::int64_t>(conclusive_silent_request_times * request_ms));
 }
 
-auto clear_waiting_time(target_load& load, time_ms at) -> void {
-    load.waiting_ms = 0;
-    load.waiting_updated = at;
+auto is_unresponsive(const directory& known, target_index index, time_ms at) -> bool {
+    const auto& load = known.targets[index].load;
+    const auto has_failed =
+        load.has_failed_check || load.answered_liveness_checks >= hung_after_liveness_checks;
+    return has_failed && load.stalled_flows >= liveness_check_after_stalled_flows && load.busy_flows != 0 &&
+           at - load.waiting_since >= conclusive_silence_ms(known, index) &&
+           is_path_healthy(known, index, at);
 }
 
-auto is_silence_conclusive(const directory& known, target_index index, time_ms at) -> bool {
-    const auto& target = known.targets[index];
-    auto load = target.load;
-    accumulate_waiting_time(load, at);
-    const auto request_ms = longest_request_ms(known, target.entry.service);
-    return static_cast<double>(load.waiting_ms) >=
-           conclusive_missing_answers * max_requests_per_slot * request_ms;
+auto mark_presumed_dead(directory& known, target_index index, time_ms at) -> bool {
+    auto& load = known.targets[index].load;
+    if (at < load.presumed_dead_until) {
+        return false;
+    }
+    load.presumed_dead_until = at + presumed_dead_ms;
+    return true;
 }
 
 auto clear_stalls(target_load& load) -> void {
@@ -93,7 +84,7 @@
 
 auto record_progress(target_load& load, time_ms at) -> void {
     clear_stalls(load);
-    clear_waiting_time(load, at);
+    load.waiting_since = at;
     load.last_answer = at;
     load.syn_backoffs = 0;
     load.presumed_dead_until = {};
@@ -120,7 +111,7 @@
         clear_stalls(load);
     }
     if (at < known.startup_grace_until) {
-        clear_waiting_time(load, at);
+        load.waiting_since = at;
         return suspicion_change::none;
     }
     if (stalled_epoch != load.progress_epoch) {
@@ -136,7 +127,7 @@
         load.last_liveness_check = at;
         load.unanswered_check_syns = 0;
     }
-    return presume_dead_if_conclusive(known, index, at);
+    return is_unresponsive(known, index, at) ? suspicion_change::unresponsive : suspicion_change::none;
 }
 
 auto record_unanswered_syn(directory& known, target_index index, time_ms sent, time_ms at)
@@ -153,8 +144,7 @@
     }
     load.liveness_check_since = {};
     load.has_failed_check = true;
-    const auto outcome = presume_dead_if_conclusive(known, index, at);
-    return outcome == suspicion_change::none ? change : outcome;
+    return is_unresponsive(known, index, at) ? suspicion_change::unresponsive : change;
 }
 
 auto extend_startup_grace(directory& known, time_ms started, time_ms at) -> void {
@@ -169,7 +159,7 @@
     }
     for (auto& target : known.targets) {
         clear_stalls(target.load);
-        clear_waiting_time(target.load, at);
+        target.load.waiting_since = at;
         target.load.presumed_dead_until = {};
     }
 }
--- a/src/edge/suspicion_func.h
+++ b/src/edge/suspicion_func.h
@@ -7,9 +7,9 @@
 // this host as stall.
 //
 // A full target is as silent as a dead one: it answers neither SYNs nor data until a request is done. It
-// differs only in that its requests are answered over time. So a silent target gets no new flows at once, and
-// its flows are reset only when a live target would have answered some of them; see `is_silence_conclusive`.
-// Tests: `flows_of_a_dead_target_are_reset` in tests/edge_forwarding_test.cpp,
+// differs only in that it answers some client within a few request times. So a silent target gets no new
+// flows at once, and its flows are reset only when no host of the fleet has seen an answer for that long; see
+// edge/liveness_query_func.h. Tests: `flows_of_a_dead_target_are_reset` in tests/edge_forwarding_test.cpp,
 // `lossy_path_resets_no_open_flow` and `full_target_at_work_is_not_presumed_dead` in
 // tests/edge_suspicion_test.cpp.
 #pragma once
@@ -29,21 +29,18 @@
 
 // Flows of a target that retransmit without progress of any before a liveness check starts: the next SYNs go
 // to the target. If they stay unanswered, the check has failed, and once its silence is conclusive the target
-// is presumed dead for `presumed_dead_ms`.
+// is unresponsive; the other hosts are asked, and if they have seen no answer either it is presumed dead for
+// `presumed_dead_ms`.
 constexpr std::uint32_t liveness_check_after_stalled_flows = 3;
 constexpr std::int64_t presumed_dead_ms = 1000;
 
-// Requests in progress and in the queue of a full target, per slot. A live target answers each of its waiting
-// requests at least once in this many request times, on average.
-constexpr double max_requests_per_slot = 5;
+// Request times without any answer to any host from which a target is dead. A live target that leaves
+// requests waiting has all slots at work, so answers are due every request time at least.
+constexpr double conclusive_silent_request_times = 8;
 
-// Shortest time of a request that is assumed, in milliseconds. Round trips and late timers take some
-// milliseconds even where the work takes none.
-constexpr double min_request_ms = 10;
-
-// Number of answers that a live target would have given meanwhile from which its silence is conclusive. If
-// answers come at random, a live target stays silent for so long once in 160,000 cases (e^-12).
-constexpr double conclusive_missing_answers = 12;
+// Least time of conclusive silence: a lost packet is sent again after 200 ms, and its answer takes a round
+// trip.
+constexpr std::int64_t min_conclusive_silence_ms = 300;
 
 // Stalls and answers older than this are ignored. Clients retransmit after pauses of up to 1.6 s, the first
 // three of which are shorter than this.
@@ -69,21 +66,20 @@
 
 // Outcome of an observation for the state of a target.
 enum class suspicion_change {
-    none,     // no change to report
-    suspect,  // gets no new flows for a while
-    dead,     // presumed dead: as a suspect, and its flows with repeatable requests are reset
+    none,          // no change to report
+    suspect,       // gets no new flows for a while
+    unresponsive,  // silent towards this host for long enough; the other hosts are to be asked
 };
 
-// Adds the time since the last call to the waiting time of the target's requests. Called before the number
-// of its busy flows changes.
-auto accumulate_waiting_time(target_load& load, time_ms at) -> void;
+// Returns the time without any answer from which a target cannot be alive and at work.
+auto conclusive_silence_ms(const directory& known, target_index index) -> std::int64_t;
 
-// Forgets the waiting time so far, which is no evidence against the target.
-auto clear_waiting_time(target_load& load, time_ms at) -> void;
+// Returns whether the target failed its liveness check, or answered nothing but SYNs, and a request of this
+// host has waited there for the conclusive time without progress of any, while other targets answer.
+auto is_unresponsive(const directory& known, target_index index, time_ms at) -> bool;
 
-// Returns whether the requests of this host at the target have waited for so long without any progress that
-// a live target, even a full one, would have answered some of them.
-auto is_silence_conclusive(const directory& known, target_index index, time_ms at) -> bool;
+// Marks an unresponsive target as presumed dead. Returns whether it was not before.
+auto mark_presumed_dead(directory& known, target_index index, time_ms at) -> bool;
 
 // Clears the count of stalled flows and ends a liveness check.
 auto clear_stalls(target_load& load) -> void;
@@ -103,15 +99,12 @@
 auto record_answered_syn(target_load& load, time_ms at) -> void;
 
 // Records a retransmission of a flow whose stalled epoch is `stalled_epoch`. Enough stalled flows start a
-// liveness check, or make the target presumed dead if it has answered only SYNs for
-// `hung_after_liveness_checks` checks. A target that failed its check is presumed dead when its silence has
-// become conclusive.
+// liveness check. Reports whether the target is unresponsive.
 auto record_retransmission(directory& known, target_index index, std::uint32_t& stalled_epoch, time_ms at)
     -> suspicion_change;
 
 // Records that a SYN sent at `sent` was answered by another target, but not by this one. During a liveness
-// check, `failed_check_after_syns` of these fail the check, and make the target presumed dead if its silence
-// is conclusive.
+// check, `failed_check_after_syns` of these fail the check. Reports whether the target is unresponsive.
 auto record_unanswered_syn(directory& known, target_index index, time_ms sent, time_ms at)
     -> suspicion_change;
 
--- a/tests/edge_test_func.h
+++ b/tests/edge_test_func.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "edge/forwarding_base.h"
+#include "edge/liveness_query_func.h"
 
 namespace agatepost::edge {
 
@@ -141,6 +142,19 @@
     return state.known.targets[verdict.target].entry.carrier;
 }
 
+// Presumes the unresponsive targets dead as a host without other hosts does.
+inline auto settle_liveness(forwarding_state& state, time_ms at) -> void {
+    auto queries = std::vector<liveness_query>{};
+    for (const auto index : state.unresponsive_targets) {
+        begin_liveness_query(queries, state.known, index, at);
+    }
+    state.unresponsive_targets.clear();
+    unsent_question(queries, state.known);
+    for (const auto index : collect_dead_targets(queries, state.known, peer_group{}, at)) {
+        presume_dead(state, index, at);
+    }
+}
+
 // Opens a flow and returns the carrier of its target.
 inline auto open_flow(forwarding_state& state, std::uint16_t client_port, time_ms at,
                       std::uint16_t service_port = 443) -> std::uint32_t {
