Fix: [soak, liveness-query] Registrations of the soak are complete; a test keeps its evidence recent

Cause: the soak's stand-in wrote registrations without version and call-seq, which name no target since. In host_that_is_gone_delays_no_decision failed: the stalls of its flows were older than a second when the host was gone. Change: the two fields; further flows stall in the test.

--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -193,6 +193,8 @@
     const auto value = nlohmann::json{{"service", one.service},
                                       {"address", absl::StrCat(address_text(one.address), ":", target_port)},
                                       {"zone", one.zone},
+                                      {"version", "v1"},
+                                      {"call-seq", 1},
                                       {"slots", 4},
                                       {"state", one.is_draining ? "draining" : "ready"},
                                       {"cold-remaining-ms", 0},
--- a/tests/edge_liveness_query_test.cpp
+++ b/tests/edge_liveness_query_test.cpp
@@ -102,6 +102,10 @@
     auto host_that_is_gone_delays_no_decision() -> void {
         auto host = asking_host(2);
         host.answer(2, never);
+        // Further flows stall meanwhile, so that the evidence stays recent.
+        for (const auto at_ms : {asked_at_ms, asked_at_ms + 200}) {
+            handle_packet(host.state, data(5, 1, 0), current_view, test_start + at_ms);
+        }
         host.now = host.now + peer_silent_ms;
         host.hear(2);
         // The client of an open flow retransmits, and another target answers.
