Feature: [forwarding] Flows of former services go on through hosts that start after the change

Seen by callers: when a configuration moved a route to another service and a host restarted afterwards, the host dropped the packets of flows that were open at the former service as foreign_carrier, and their requests were never answered. Cause: a host knows only the services that a route has had since the host started. Change: for bounds.max-flow-s after its start a host forwards such packets to the target that the carrier names (counter edge_former_service, event 616 once for each flow); later they are dropped as before. SYNs go only to the present service. Such a flow counts at its target, changes no statistics of its route, and is no evidence against its target, because how long requests at the former service take is not known to this host. The unit tests do not cover the line in edge_host.cpp that starts the time.

--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -41,6 +41,7 @@
 struct target_load {
     std::uint32_t open_flows = 0;             // of this host
     std::uint32_t busy_flows = 0;             // open flows of this host with a request in progress
+    std::uint32_t former_service_flows = 0;   // open flows of this host at a former service of their route
     std::uint32_t pending_syns = 0;           // SYNs sent by this host without a further packet of the flow
     std::uint32_t peer_open_flows = 0;        // open flows reported by other hosts
     std::uint32_t peer_busy_flows = 0;        // busy and pending flows reported by other hosts
@@ -64,10 +65,10 @@
     friend auto operator==(const target_load& a, const target_load& b) -> bool {
         return a.open_flows == b.open_flows && a.busy_flows == b.busy_flows &&
                a.pending_syns == b.pending_syns && a.peer_open_flows == b.peer_open_flows &&
-               a.peer_busy_flows == b.peer_busy_flows && a.unanswered_syns == b.unanswered_syns &&
-               a.stalled_flows == b.stalled_flows && a.progress_epoch == b.progress_epoch &&
-               a.last_answer == b.last_answer && a.last_stall == b.last_stall &&
-               a.last_liveness_check == b.last_liveness_check &&
+               a.former_service_flows == b.former_service_flows && a.peer_busy_flows == b.peer_busy_flows &&
+               a.unanswered_syns == b.unanswered_syns && a.stalled_flows == b.stalled_flows &&
+               a.progress_epoch == b.progress_epoch && a.last_answer == b.last_answer &&
+               a.last_stall == b.last_stall && a.last_liveness_check == b.last_liveness_check &&
                a.liveness_check_since == b.liveness_check_since &&
                a.unanswered_check_syns == b.unanswered_check_syns &&
                a.has_failed_check == b.has_failed_check && a.waiting_ms == b.waiting_ms &&
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -741,6 +741,7 @@
               {{"data", to_text(settings_.data_address)}, {"store", to_text(settings_.store_address)}});
     last_observed_ = boot_now();
     started_ = last_observed_;
+    state_.former_services_until = started_ + settings_.max_flow_ms;
     extend_startup_grace(state_.known, started_, started_);
     while (true) {
         const auto at = observe_time();
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -13,6 +13,8 @@
     switch (reason) {
         case packet_reason::established:
             return counter::edge_established;
+        case packet_reason::former_service:
+            return counter::edge_former_service;
         case packet_reason::opened:
             return counter::edge_opened;
         case packet_reason::open_retried:
@@ -58,8 +60,9 @@
 auto event_of(const packet_verdict& verdict, bool is_syn_packet) -> log_event {
     switch (verdict.action) {
         case packet_action::forward:
-            return verdict.reason == packet_reason::opened ? log_event::flow_opened
-                                                           : log_event::flow_open_retried;
+            return verdict.reason == packet_reason::opened           ? log_event::flow_opened
+                   : verdict.reason == packet_reason::former_service ? log_event::flow_of_former_service
+                                                                     : log_event::flow_open_retried;
         case packet_action::reset:
             return is_syn_packet ? log_event::flow_refused : log_event::flow_reset;
         case packet_action::drop:
--- a/src/edge/flow_counts.cpp
+++ b/src/edge/flow_counts.cpp
@@ -1,5 +1,6 @@
 #include "edge/flow_counts_func.h"
 
+#include "edge/former_service_func.h"
 #include "edge/suspicion_func.h"
 
 namespace agatepost::edge {
@@ -47,6 +48,7 @@
 auto release_flow(forwarding_state& state, flow_record& flow, time_ms at) -> void {
     if (flow.is_open) {
         set_busy(state, flow, false, at);
+        set_at_former_service(state, flow, false, at);
         decrement(load_of(state, flow.target).open_flows);
         return;
     }
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "edge/flow_counts_func.h"
+#include "edge/former_service_func.h"
 #include "edge/forwarding_base.h"
 #include "edge/opening_func.h"
 #include "edge/suspicion_func.h"
@@ -18,7 +19,7 @@
 
 auto update_requests_per_flow(forwarding_state& state, const flow_key& key, const flow_record& flow) -> void {
     auto* route = find_route(state.known, key);
-    if (route == nullptr || flow.requests == 0) {
+    if (route == nullptr || flow.requests == 0 || flow.is_at_former_service) {
         return;
     }
     const auto requests = static_cast<double>(flow.requests);
@@ -92,7 +93,7 @@
 // unknown which slots are free.
 auto update_request_time(forwarding_state& state, route_record& route, const flow_record& flow, time_ms at)
     -> void {
-    if (!flow.is_busy) {
+    if (!flow.is_busy || flow.is_at_former_service) {
         return;
     }
     count_route_use(state, route);
@@ -108,7 +109,10 @@
     -> suspicion_change {
     const auto end = packet.sequence + packet.payload_bytes;
     if (!is_after(end, flow.highest_sequence)) {
-        return record_retransmission(state.known, flow.target, flow.stalled_epoch, at);
+        // How long requests at a former service take is not known, so its silence is no evidence.
+        return flow.is_at_former_service
+                   ? suspicion_change::none
+                   : record_retransmission(state.known, flow.target, flow.stalled_epoch, at);
     }
     flow.highest_sequence = end;
     if (!flow.is_busy) {
@@ -173,11 +177,15 @@
     }
     const auto index = found->second;
     auto& target = state.known.targets[index];
-    if (!absl::c_linear_search(route->services, target.entry.service)) {
+    const auto relation = relation_to_route(*route, target.entry.service, state.former_services_until, at);
+    if (relation == service_relation::foreign) {
+        end_former_flow(state, packet.flow, at);
         return drop(packet_reason::foreign_carrier);
     }
-    const auto forward =
-        packet_verdict{packet_action::forward, packet_reason::established, index, false, false};
+    const auto is_former = relation == service_relation::former;
+    auto forward = packet_verdict{packet_action::forward,
+                                  is_former ? packet_reason::former_service : packet_reason::established,
+                                  index, false, false};
     if (context.was_delayed_by_pause && !packet.is_fin) {
         return forward;  // other hosts have handled the flow meanwhile
     }
@@ -212,6 +220,7 @@
     }
     flow.is_waiting = false;  // the flow may have opened through another host meanwhile
     record_open(state, flow, index, at);
+    forward.is_logged = set_at_former_service(state, flow, is_former, at);
     flow.last_packet = at;
     if (is_after(packet.acknowledgement, flow.acknowledgement)) {
         flow.acknowledgement = packet.acknowledgement;
@@ -227,7 +236,7 @@
     }
     const auto is_left =
         is_reset_for_gone_target(packet, *route, target, previous_sequence == flow.highest_sequence, at);
-    if (is_left || is_reset_for_dead_target(packet, *route, target.load, at)) {
+    if (is_left || (!is_former && is_reset_for_dead_target(packet, *route, target.load, at))) {
         release_flow(state, flow, at);
         state.flows.erase(entry);
         record_suspicion(state, index, change, at);
@@ -287,6 +296,8 @@
     switch (reason) {
         case packet_reason::established:
             return "established";
+        case packet_reason::former_service:
+            return "former_service";
         case packet_reason::opened:
             return "opened";
         case packet_reason::open_retried:
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -49,6 +49,7 @@
 // The reason for an action. Each has a counter of its own.
 enum class packet_reason {
     established,            // forwarded by its carrier
+    former_service,         // the same, to a target of a service that the route had before this host started
     opened,                 // a new flow was placed
     open_retried,           // another target was chosen for a SYN
     no_configuration,       // routes or targets are not known yet
@@ -92,6 +93,7 @@
     bool is_waiting = false;       // its SYN waits in this host
     bool is_followed_up = false;   // its client has begun another attempt instead
     bool has_seen_syn = false;     // this host saw the SYN, with sequence number `syn_sequence`
+    bool is_at_former_service = false;
     std::uint32_t syn_sequence = 0;
     std::uint32_t syn_copies = 0;  // number of the newest copy of the SYN
     time_ms last_packet;
@@ -140,6 +142,7 @@
     std::vector<target_index> presumed_dead_targets;  // for the log; emptied by the caller
     std::vector<target_index> suspected_targets;      // for the log; emptied by the caller
     std::minstd_rand random{1};
+    time_ms former_services_until;  // until then, flows may be open at services unknown to this host
 };
 
 // The circumstances under which a packet was received.
--- a/src/edge/opening.cpp
+++ b/src/edge/opening.cpp
@@ -317,7 +317,9 @@
     }
     auto& flow = state.flows[packet.flow];
     if (flow.is_open) {
-        if (is_retransmitted_syn(packet, flow)) {
+        // A SYN never goes to a former service. A late copy of the flow's SYN is placed as a new flow, whose
+        // SYN-ACK the client resets.
+        if (!flow.is_at_former_service && is_retransmitted_syn(packet, flow)) {
             return {packet_action::forward, packet_reason::established, flow.target, true, false};
         }
         release_flow(state, flow, at);
--- a/src/edge/suspicion.cpp
+++ b/src/edge/suspicion.cpp
@@ -64,6 +64,9 @@
 
 auto is_silence_conclusive(const directory& known, target_index index, time_ms at) -> bool {
     const auto& target = known.targets[index];
+    if (target.load.former_service_flows != 0) {
+        return false;  // they fill its slots, and how long their requests take is not known here
+    }
     auto load = target.load;
     accumulate_waiting_time(load, at);
     const auto request_ms = longest_request_ms(known, target.entry.service);
