--- a/src/edge/suspicion.cpp
+++ b/src/edge/suspicion.cpp
@@ -48,6 +48,9 @@
     const auto& load = known.targets[index].load;
     const auto has_failed =
         load.has_failed_check || load.answered_liveness_checks >= hung_after_liveness_checks;
+    if (load.former_service_flows != 0) {
+        return false;  // they fill its slots, and how long their requests take is not known here
+    }
     return has_failed && load.stalled_flows >= liveness_check_after_stalled_flows && load.busy_flows != 0 &&
            at - load.waiting_since >= conclusive_silence_ms(known, index) &&
            is_path_healthy(known, index, at);
