Feature: [evacuation] No new flows go to the targets of an evacuated zone

Change: the platform reads the key, and the directory keeps the set of evacuated zones. Targets there take no first SYN, retry, waiting SYN, liveness probe or copy, unless the flow is open there; open flows go on. A removed or unlisted key ends the evacuation at once, also within the grace period after an outage of the store. If only evacuated zones have targets for a route, SYNs are refused at once as zone_evacuated. Without a key, choose_service and assigned_slots count targets as before.

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "edge/directory_base.h"
+#include "edge/evacuation_func.h"
 
 namespace agatepost::edge {
 
@@ -265,7 +266,10 @@
     }
     const auto previous = std::exchange(stored, {item.value, item.revision, item.is_removed});
     if (item.is_removed) {
-        const auto change = apply_removal(known, previous.target, at);
+        auto change = end_evacuation(known, item.key, previous);
+        if (change == directory_change::none) {
+            change = apply_removal(known, previous.target, at);
+        }
         limit_removals(known);
         return {change, std::nullopt};
     }
@@ -284,6 +288,9 @@
         return {apply_routes(known, std::move(*table)), std::nullopt};
     }
     stored.value.clear();  // not used by other hosts either
+    if (const auto* evacuation = std::get_if<zone_evacuation>(&*meaning)) {
+        return {start_evacuation(known, stored, *evacuation), std::nullopt};
+    }
     return {};
 }
 
@@ -297,6 +304,7 @@
     }
     for (const auto& key : missing) {
         const auto previous = std::exchange(known.items[key], {"", first_revision, true});
+        end_evacuation(known, key, previous);
         apply_removal(known, previous.target, at);
     }
     return missing;
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <optional>
@@ -110,6 +111,7 @@
     bool is_removed = false;
     std::string target;          // name of the target that it registers; empty: none
     bool is_unreadable = false;  // the value cannot be read
+    std::string evacuated_zone;  // zone whose evacuation it requests, or did before its removal; empty: none
 };
 
 // The change that an item made, for the log.
@@ -121,6 +123,9 @@
     target_gone,     // it left or died
     routes_changed,  // a newer configuration is in use
     unreadable,      // the item cannot be read
+    // Operators evacuate a zone, or no longer do.
+    evacuation_started,
+    evacuation_ended,
 };
 
 // The outcome of applying one item.
@@ -148,6 +153,7 @@
     absl::flat_hash_map<std::string, std::vector<target_index>> by_service;
     absl::flat_hash_map<std::uint64_t, route_record> routes;
     absl::flat_hash_map<std::string, known_item> items;
+    absl::flat_hash_set<std::string> evacuated_zones;  // no new flows go to their targets
 };
 
 // Key of a route by its service address.
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -211,9 +211,7 @@
     events.on_item = [this](const store_item& item, const item_outcome& outcome) {
         log_item(item, outcome, state_.known);
     };
-    events.on_target_gone = [](const std::string& key) {
-        write_log(log_event::target_gone, {{"target", key}});
-    };
+    events.on_target_gone = [this](const std::string& key) { log_unlisted(key, state_.known); };
     events.on_store_lost = [](const error& fault) {
         count(counter::edge_store_failures);
         write_log(log_event::store_lost, {{"fault", to_text(fault)}});
@@ -601,7 +599,7 @@
     }
     if (changes->is_whole) {
         for (const auto& key : remove_unlisted(state_.known, listed, changes->revision, at)) {
-            write_log(log_event::target_gone, {{"target", key}});
+            log_unlisted(key, state_.known);
         }
     }
     state_.known.revision = std::max(state_.known.revision, changes->revision);
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -27,6 +27,8 @@
             return counter::edge_stale_route;
         case packet_reason::no_target:
             return counter::edge_no_target;
+        case packet_reason::zone_evacuated:
+            return counter::edge_zone_evacuated;
         case packet_reason::cut_off:
             return counter::edge_cut_off;
         case packet_reason::waits_for_target:
@@ -82,6 +84,10 @@
             return log_event::configuration_applied;
         case directory_change::unreadable:
             return log_event::item_unreadable;
+        case directory_change::evacuation_started:
+            return log_event::zone_evacuation_started;
+        case directory_change::evacuation_ended:
+            return log_event::zone_evacuation_ended;
         case directory_change::target_changed:
         case directory_change::none:
             return log_event::target_updated;
@@ -194,6 +200,16 @@
                                              {"load", load_text(target.load)}});
 }
 
+auto log_unlisted(const std::string& key, const directory& known) -> void {
+    const auto found = known.items.find(key);
+    if (found != known.items.end() && !found->second.evacuated_zone.empty()) {
+        log_item({key, "", found->second.revision, true}, {directory_change::evacuation_ended, std::nullopt},
+                 known);
+    } else {
+        write_log(log_event::target_gone, {{"target", key}});
+    }
+}
+
 auto log_item(const store_item& item, const item_outcome& outcome, const directory& known) -> void {
     if (outcome.change == directory_change::unreadable) {
         count(counter::edge_unreadable_items);
@@ -204,6 +220,10 @@
         write_log(log_event::configuration_applied, {{"revision", std::to_string(item.revision)},
                                                      {"version", std::to_string(known.configuration_version)},
                                                      {"routes", std::to_string(known.routes.size())}});
+    } else if (const auto kept = known.items.find(item.key);
+               kept != known.items.end() && !kept->second.evacuated_zone.empty()) {
+        write_log(event_of(outcome.change), {{"evacuated_zone", kept->second.evacuated_zone},
+                                             {"revision", std::to_string(item.revision)}});
     } else {
         const auto found = known.by_name.find(item.key.substr(item.key.rfind('/') + 1));
         const auto is_draining = found != known.by_name.end() &&
--- a/src/edge/edge_platform_base.h
+++ b/src/edge/edge_platform_base.h
@@ -46,7 +46,7 @@
 constexpr std::size_t bare_packet_bytes = 34;
 
 // Decoded item of the store; monostate: an item that hosts do not use.
-using item_meaning = std::variant<std::monostate, target_entry, route_table>;
+using item_meaning = std::variant<std::monostate, target_entry, route_table, zone_evacuation>;
 
 // Functions for a platform's formats.
 struct platform_plugin {
--- a/src/edge/edge_type.h
+++ b/src/edge/edge_type.h
@@ -118,6 +118,15 @@
     }
 };
 
+// A request of operators that no new flows go to the targets of a zone, in force while its item exists.
+struct zone_evacuation {
+    std::string zone;
+
+    friend auto operator==(const zone_evacuation& a, const zone_evacuation& b) -> bool {
+        return a.zone == b.zone;
+    }
+};
+
 // An item of the store, written or removed.
 struct store_item {
     std::string key;
--- a/src/edge/explain_log.cpp
+++ b/src/edge/explain_log.cpp
@@ -33,6 +33,7 @@
 auto cause_of_refusal(const explained_line& line) -> std::string {
     static const auto causes = std::map<std::string, std::string>{
         {"no_target", "no target of the service takes flows: refused under load or with all targets away"},
+        {"zone_evacuated", "operators evacuated the zones of all targets of the service; it has not run"},
         {"cut_off",
          "the host reached no target; it has not run, and the next try may come through another host"},
         {"overloaded", "no target of the service would have answered in time; it has not run"},
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -301,6 +301,8 @@
             return "stale_route";
         case packet_reason::no_target:
             return "no_target";
+        case packet_reason::zone_evacuated:
+            return "zone_evacuated";
         case packet_reason::cut_off:
             return "cut_off";
         case packet_reason::waits_for_target:
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -56,6 +56,7 @@
     unknown_route,          // no route has this address
     stale_route,            // no route has this address, but the configuration may be out of date
     no_target,              // no target of the service takes flows
+    zone_evacuated,         // targets of the service take flows in evacuated zones only
     cut_off,                // this host reaches no target; another host may
     waits_for_target,       // no target of the service would answer in time yet
     abandoned,              // the client of a waiting SYN has sent no further copy
--- a/src/edge/opening.cpp
+++ b/src/edge/opening.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <tl/expected.hpp>
 
+#include "edge/evacuation_func.h"
 #include "edge/flow_counts_func.h"
 #include "edge/suspicion_func.h"
 
@@ -25,7 +26,9 @@
     -> tl::expected<target_index, packet_reason> {
     const auto* service = choose_service(state.known, route.entry, state.random);
     if (service == nullptr) {
-        return tl::unexpected(packet_reason::no_target);
+        return tl::unexpected(is_refused_for_evacuation(state.known, route.entry)
+                                  ? packet_reason::zone_evacuated
+                                  : packet_reason::no_target);
     }
     const auto request = flow_request{has_long_flows(route), state.zone};
     auto target = choose_target(state.known, *service, request, flow.tried, at, state.random);
@@ -79,7 +82,8 @@
     }
 }
 
-// Returns the slots of the targets of the route's service in the zone that are not assigned to other hosts.
+// Returns the slots of the targets of the route's service in the zone that are not assigned to other hosts
+// and count as destinations of new flows.
 auto assigned_slots(const forwarding_state& state, const route_record& route) -> std::uint32_t {
     auto slots = std::uint32_t{0};
     const auto members = state.known.by_service.find(queue_service(route));
@@ -88,7 +92,8 @@
     }
     for (const auto index : members->second) {
         const auto& target = state.known.targets[index];
-        slots += target.entry.zone == state.zone && !target.is_assigned_to_peer ? target.entry.slots : 0;
+        const auto is_own = target.entry.zone == state.zone && !target.is_assigned_to_peer;
+        slots += is_own && counts_for_new_flows(state.known, index) ? target.entry.slots : 0;
     }
     return slots;
 }
@@ -345,7 +350,9 @@
         flow.attempt_start = at + -attempt_age_ms(packet.acknowledgement);
         end_attempts_before(state, packet, at);
         count_route_use(state, *route);
-        if (count_waiting_ahead(queue_of(state, *route), route->entry.priority, is_refused_last(*route),
+        // Waiting would not help when all targets are evacuated.
+        if (!is_refused_for_evacuation(state.known, route->entry) &&
+            count_waiting_ahead(queue_of(state, *route), route->entry.priority, is_refused_last(*route),
                                 at) != 0) {
             return handle_overload(state, packet, context, *route, flow, at);
         }
@@ -365,7 +372,9 @@
         state.flows.erase(packet.flow);
         return refuse_syn(packet, refusal);
     }
-    return {packet_action::forward, packet_reason::open_retried, flow.target, true, true};
+    const auto target = target_of_copy(state.known, flow.target, flow.tried);
+    return target ? packet_verdict{packet_action::forward, packet_reason::open_retried, *target, true, true}
+                  : drop(packet_reason::may_be_answered);
 }
 
 auto collect_syn_retries(forwarding_state& state, time_ms at) -> std::vector<syn_resend> {
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -1,5 +1,6 @@
 #include <absl/algorithm/container.h>
 
+#include "edge/evacuation_func.h"
 #include "edge/placement_func.h"
 
 namespace agatepost::edge {
@@ -10,15 +11,6 @@
 // with the same view do not all choose the same one.
 constexpr double equal_load_margin = 0.02;
 
-auto takes_new_flows(const directory& known, target_index index) -> bool {
-    const auto& target = known.targets[index];
-    if (target.state == presence::gone || target.entry.state != target_state::ready) {
-        return false;
-    }
-    const auto holder = known.by_carrier.find(target.entry.carrier);
-    return holder != known.by_carrier.end() && holder->second == index;
-}
-
 // Returns whether a target is expected not to answer. After its time as a suspect it is tried with one flow
 // at a time.
 auto is_suspect(const target_load& load, time_ms at) -> bool {
@@ -68,6 +60,16 @@
 
 }  // namespace
 
+auto takes_new_flows(const directory& known, target_index index) -> bool {
+    const auto& target = known.targets[index];
+    if (target.state == presence::gone || target.entry.state != target_state::ready ||
+        is_evacuated(known, target)) {
+        return false;
+    }
+    const auto holder = known.by_carrier.find(target.entry.carrier);
+    return holder != known.by_carrier.end() && holder->second == index;
+}
+
 auto assign_targets(directory& known, const std::string& zone, std::uint32_t own_address,
                     const std::vector<std::uint32_t>& other_hosts) -> void {
     for (auto& target : known.targets) {
@@ -175,7 +177,7 @@
 auto choose_service(const directory& known, const route_entry& route, std::minstd_rand& random)
     -> const std::string* {
     const auto has_targets = [&](const route_backend& backend) {
-        return backend.weight != 0 && known.by_service.count(backend.service) != 0;
+        return backend.weight != 0 && has_targets_for_new_flows(known, backend.service);
     };
     auto total = std::uint64_t{0};
     for (const auto& backend : route.backends) {
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -49,6 +49,10 @@
 constexpr double lower_priority_latency_share = 0.8;
 constexpr double highest_priority_latency_share = 2.0;
 
+// Returns whether new flows may go to a target: it is ready, its zone is not evacuated, and it is the one
+// that its carrier names.
+auto takes_new_flows(const directory& known, target_index index) -> bool;
+
 // Returns a target's requests in progress and pending SYNs per slot, as known to this host.
 auto busy_per_slot(const target_record& target) -> double;
 
@@ -87,8 +91,8 @@
                    const tried_targets& tried, time_ms at, std::minstd_rand& random)
     -> std::optional<target_index>;
 
-// Returns the service of a new flow, drawn by weight among the route's backends with targets; nullptr if no
-// backend has any.
+// Returns the service of a new flow, drawn by weight among the route's backends with targets, see
+// has_targets_for_new_flows; nullptr if no backend has any.
 auto choose_service(const directory& known, const route_entry& route, std::minstd_rand& random)
     -> const std::string*;
 
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -77,6 +77,7 @@
 COUNTER(edge_unknown_route, "one-way path: reset, no route has this address")
 COUNTER(edge_stale_route, "one-way path: dropped, no route has this address and the view is not current")
 COUNTER(edge_no_target, "one-way path: reset, no target of the service takes flows")
+COUNTER(edge_zone_evacuated, "one-way path: reset, targets of the service take flows in evacuated zones only")
 COUNTER(edge_cut_off, "one-way path: reset, this host reaches no target")
 COUNTER(edge_waits_for_target, "one-way path: opening packets and their copies that wait for a target")
 COUNTER(edge_abandoned, "one-way path: waiting opening packets dropped, their clients sent no further copy")
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -48,4 +48,6 @@
 LOG_EVENT(628, handler_failed, error, "an unexpected error ended the handling of one event; the host continues")
 LOG_EVENT(629, targets_out_of_reach, warning, "no target answers through this host; the host leaves the rotation temporarily")
 LOG_EVENT(630, targets_in_reach, info, "the host accepts flows again after it reached no target")
+LOG_EVENT(631, zone_evacuation_started, info, "operators evacuate a zone; no new flows go to its targets")
+LOG_EVENT(632, zone_evacuation_ended, info, "the evacuation of a zone has ended; its targets get new flows again")
 LOG_EVENT(626, log_lines_dropped, warning, "standard output was full; lines were dropped")
