Feature: [cold-start] Cold targets get a limited number of openings from all hosts together

Cause: after an evacuation or a start, targets are cold and can handle only `cold-per-s` opening SYNs per second. Change: `cold-per-s` is read for each service, `bounds.cold-overage` and `bounds.cold-slack` from the settings file. Each cold target is assigned to one host of its zone, in zones of any size. That host sends at most half of the limit in 1.1 s, and half of that again for each host that precedes it in rendezvous order and may still send, so that hosts which cannot reach each other keep the limit. A starting, paused, stopping or isolated host sends none. All SYNs count, copies too. A cold target without room is skipped; without another target the SYN waits and is refused with `cold_limited`. Counters edge_cold_skipped and edge_cold_limited, event cold_target_limited. Nothing changes where a field is absent. The wiring in edge_host.cpp has no test of its own.

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -207,6 +207,10 @@
     }
     known.configuration_version = table.version;
     known.idle_timeout_ms = table.idle_timeout_ms;
+    known.cold_per_s.clear();
+    for (const auto& service : table.services) {
+        known.cold_per_s[service.name] = service.cold_per_s;
+    }
     auto previous_routes = std::move(known.routes);
     known.routes.clear();
     for (auto& entry : table.routes) {
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/clock_type.h"
+#include "edge/cold_start_type.h"
 #include "edge/edge_platform_base.h"
 #include "edge/edge_type.h"
 
@@ -89,6 +90,7 @@
     bool is_in_use = false;            // false: the record is free
     bool is_assigned_to_peer = false;  // another host of the zone sends it new flows
     target_load load;
+    cold_openings cold;
 };
 
 // A route and statistics of its flows.
@@ -139,6 +141,10 @@
     time_ms startup_grace_until;               // end of the startup grace period; see `startup_grace_ms`
     std::int64_t configuration_version = -1;
     std::int64_t idle_timeout_ms = 0;
+    // Bounds for cold targets; nothing: they are not limited.
+    std::optional<cold_bounds> cold;
+    // Opening SYNs per second for a cold target, of services that limit them.
+    absl::flat_hash_map<std::string, double> cold_per_s;
     std::vector<target_record> targets;
     std::vector<target_index> unused;
     absl::flat_hash_map<std::string, target_index> by_name;
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -14,6 +14,7 @@
 #include "core/log_batch_base.h"
 #include "core/log_func.h"
 #include "core/metrics_func.h"
+#include "edge/cold_start_func.h"
 #include "edge/edge_log_func.h"
 #include "edge/event_loop_base.h"
 #include "edge/forwarding_base.h"
@@ -109,6 +110,7 @@
           follower_(loop_, state_.known, settings_.store_address, make_follower_events(), state_.random),
           sync_client_(loop_) {
         state_.known.platform = &platform_;
+        state_.known.cold = settings_.cold;
         state_.zone = settings_.zone;
         group_.own_address = address_number(settings_.data_address.address);
         group_.zone = settings_.zone;
@@ -140,6 +142,7 @@
     auto make_heartbeat(time_ms at) -> heartbeat;
     auto evaluate_peer_reports(time_ms at) -> void;
     auto update_assignment(time_ms at) -> void;
+    auto update_cold_assignment(time_ms at) -> void;
     auto sync_with_peers(time_ms at) -> void;
     auto apply_changes(std::uint32_t peer, std::uint64_t reported_revision, const result<http_answer>& answer)
         -> void;
@@ -192,6 +195,10 @@
     time_ms reported_age_at_;
     std::vector<std::uint32_t> assignment_hosts_;  // other hosts that the targets of the zone are assigned to
     std::uint64_t assignment_revision_ = 0;
+    // Other hosts that cold targets are assigned to; nothing: this host sends them no SYNs.
+    std::optional<std::vector<cold_zone_host>> cold_hosts_;
+    std::uint64_t cold_revision_ = 0;
+    time_ms cold_known_since_;  // start of this host, or end of its last pause
     std::vector<char> heartbeat_buffer_ = std::vector<char>(max_heartbeat_bytes);
     time_ms next_load_report_;
     std::uint32_t instance_ = 0;  // random number of this instance
@@ -249,6 +256,8 @@
     if (at - last_observed_ > pause_threshold_ms) {
         write_log(log_event::edge_resumed, {{"ms", std::to_string(at - last_observed_)}});
         record_pause(state_, at);
+        cold_known_since_ = at;
+        update_cold_assignment(at);
         has_delayed_packets_ = reads_packets_;
     }
     last_observed_ = at;
@@ -382,6 +391,10 @@
     for (const auto index : state_.presumed_dead_targets) {
         log_presumed_dead(state_.known.targets[index]);
     }
+    for (const auto index : state_.cold_limited_targets) {
+        log_cold_limited(state_.known, state_.known.targets[index], at);
+    }
+    state_.cold_limited_targets.clear();
     state_.suspected_targets.clear();
     state_.presumed_dead_targets.clear();
     if (!state_.flows_to_reset.empty()) {
@@ -519,6 +532,7 @@
     choose_role(at);
     sync_with_peers(at);
     update_assignment(at);
+    update_cold_assignment(at);
 }
 
 // Assigns the targets of the zone to its hosts again when its hosts or targets have changed.
@@ -535,6 +549,23 @@
     assign_targets(state_.known, settings_.zone, group_.own_address, assignment_hosts_);
 }
 
+// Assigns cold targets of the zone to its hosts again when its hosts or targets have changed.
+auto edge_host::update_cold_assignment(time_ms at) -> void {
+    if (!settings_.cold) {
+        return;
+    }
+    // A stopping host sends none, so that another may take over a second after the stop was announced.
+    auto hosts = is_stopping_
+                     ? std::nullopt
+                     : find_cold_zone_hosts(group_, !settings_.seeds.empty(), at - cold_known_since_, at);
+    if (hosts == cold_hosts_ && cold_revision_ == state_.known.revision) {
+        return;
+    }
+    cold_revision_ = state_.known.revision;
+    cold_hosts_ = std::move(hosts);
+    assign_cold_targets(state_.known, settings_.zone, group_.own_address, cold_hosts_);
+}
+
 auto edge_host::choose_role(time_ms at) -> void {
     // Until it has a complete listing, each host reads the store itself.
     const auto watches = !state_.known.is_complete || should_watch(group_, at);
@@ -741,6 +772,7 @@
               {{"data", to_text(settings_.data_address)}, {"store", to_text(settings_.store_address)}});
     last_observed_ = boot_now();
     started_ = last_observed_;
+    cold_known_since_ = started_;
     extend_startup_grace(state_.known, started_, started_);
     while (true) {
         const auto at = observe_time();
@@ -748,6 +780,7 @@
             is_stopping_ = true;
             stop_began_ = at;
             next_heartbeat_ = at;
+            update_cold_assignment(at);
             write_log(log_event::host_stopping);
         }
         if (reload_requested != 0) {
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -1,7 +1,10 @@
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 #include "core/counter_func.h"
 #include "core/log_func.h"
+#include "edge/cold_start_func.h"
 #include "edge/edge_log_func.h"
 #include "edge/suspicion_func.h"
 
@@ -37,6 +40,8 @@
             return counter::edge_may_be_answered;
         case packet_reason::overloaded:
             return counter::edge_overloaded;
+        case packet_reason::cold_limited:
+            return counter::edge_cold_limited;
         case packet_reason::unknown_carrier:
             return counter::edge_unknown_carrier;
         case packet_reason::unknown_carrier_reset:
@@ -183,6 +188,15 @@
                                             {"pause_ms", std::to_string(target.load.suspect_until - at)}});
 }
 
+auto log_cold_limited(const directory& known, const target_record& target, time_ms at) -> void {
+    const auto limit = cold_limit(known, target, at).value_or(0);
+    write_log(log_event::cold_target_limited,
+              {{"target", target.entry.name},
+               {"limit_per_s", absl::StrCat(limit)},
+               {"own_share", std::to_string(cold_share(limit, target.cold.rank.value_or(0)))},
+               {"cold_ms", std::to_string(std::max<std::int64_t>(0, target.cold_until - at))}});
+}
+
 auto log_syn_resend(const forwarding_state& state, const syn_resend& retry) -> void {
     const auto& target = state.known.targets[retry.target];
     const auto found = state.flows.find(retry.flow);
--- a/src/edge/edge_log_func.h
+++ b/src/edge/edge_log_func.h
@@ -32,6 +32,9 @@
 // Logs that a target is presumed dead.
 auto log_presumed_dead(const target_record& target) -> void;
 
+// Logs that a cold target gets no further SYN of this host for now.
+auto log_cold_limited(const directory& known, const target_record& target, time_ms at) -> void;
+
 // Logs a store item that changed the directory.
 auto log_item(const store_item& item, const item_outcome& outcome, const directory& known) -> void;
 
--- a/src/edge/edge_type.h
+++ b/src/edge/edge_type.h
@@ -107,14 +107,26 @@
     }
 };
 
+// A service whose cold targets are limited.
+struct service_entry {
+    std::string name;
+    double cold_per_s = 0;  // opening SYNs per second that a cold target can handle
+
+    friend auto operator==(const service_entry& a, const service_entry& b) -> bool {
+        return a.name == b.name && a.cold_per_s == b.cold_per_s;
+    }
+};
+
 // The configuration written by operators.
 struct route_table {
     std::int64_t version = 0;
     std::vector<route_entry> routes;
-    std::int64_t idle_timeout_ms = 0;  // an open flow without packets for this long may be dropped
+    std::vector<service_entry> services;  // those that limit their cold targets
+    std::int64_t idle_timeout_ms = 0;     // an open flow without packets for this long may be dropped
 
     friend auto operator==(const route_table& a, const route_table& b) -> bool {
-        return a.version == b.version && a.routes == b.routes && a.idle_timeout_ms == b.idle_timeout_ms;
+        return a.version == b.version && a.routes == b.routes && a.services == b.services &&
+               a.idle_timeout_ms == b.idle_timeout_ms;
     }
 };
 
--- a/src/edge/explain_log.cpp
+++ b/src/edge/explain_log.cpp
@@ -36,6 +36,7 @@
         {"cut_off",
          "the host reached no target; it has not run, and the next try may come through another host"},
         {"overloaded", "no target of the service would have answered in time; it has not run"},
+        {"cold_limited", "the targets of the service were cold and had got their openings; it has not run"},
         {"unknown_route", "the configuration in force has no route for this address"},
         {"unknown_carrier_reset",
          "the flow's target is not registered any more, by a current view of the store"},
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -311,6 +311,8 @@
             return "may_be_answered";
         case packet_reason::overloaded:
             return "overloaded";
+        case packet_reason::cold_limited:
+            return "cold_limited";
         case packet_reason::unknown_carrier:
             return "unknown_carrier";
         case packet_reason::unknown_carrier_reset:
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -61,6 +61,7 @@
     abandoned,              // the client of a waiting SYN has sent no further copy
     may_be_answered,        // a target may still answer the SYN whose wait has ended
     overloaded,             // no target of the service would answer in time
+    cold_limited,           // the targets left are cold and may get no SYN now
     unknown_carrier,        // the carrier names no target
     unknown_carrier_reset,  // the same for a retransmission and with a current view: the target is gone
     foreign_carrier,        // the carrier names a target of another service
@@ -91,6 +92,7 @@
     bool found_free_slot = false;  // the target had a free slot when that request was sent
     bool is_waiting = false;       // its SYN waits in this host
     bool is_followed_up = false;   // its client has begun another attempt instead
+    bool skipped_cold = false;     // its SYN did not go to a target because that is cold
     bool has_seen_syn = false;     // this host saw the SYN, with sequence number `syn_sequence`
     std::uint32_t syn_sequence = 0;
     std::uint32_t syn_copies = 0;  // number of the newest copy of the SYN
@@ -139,6 +141,7 @@
     std::vector<flow_to_reset> flows_to_reset;        // reset and emptied by the caller of handle_packet
     std::vector<target_index> presumed_dead_targets;  // for the log; emptied by the caller
     std::vector<target_index> suspected_targets;      // for the log; emptied by the caller
+    std::vector<target_index> cold_limited_targets;   // for the log; emptied by the caller
     std::minstd_rand random{1};
 };
 
--- a/src/edge/opening.cpp
+++ b/src/edge/opening.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <tl/expected.hpp>
 
+#include "edge/cold_start_func.h"
 #include "edge/flow_counts_func.h"
 #include "edge/suspicion_func.h"
 
@@ -29,6 +30,12 @@
     }
     const auto request = flow_request{has_long_flows(route), state.zone};
     auto target = choose_target(state.known, *service, request, flow.tried, at, state.random);
+    const auto limited = find_cold_limited_targets(state.known, *service, flow.tried, at);
+    record_cold_skip(state, flow, limited);
+    if (!target && !limited.empty()) {
+        flow.target = flow.tried.empty() ? limited.front() : flow.target;  // for the log
+        return tl::unexpected(packet_reason::cold_limited);
+    }
     if (!target) {
         return tl::unexpected(packet_reason::no_target);
     }
@@ -43,6 +50,7 @@
     flow.tried.push_back(*target);
     flow.target = *target;
     ++load_of(state, *target).pending_syns;
+    record_cold_syn(state.known, *target, at);
     return *target;
 }
 
@@ -71,10 +79,27 @@
     return state.queues[queue_service(route)];
 }
 
+auto has_cold_limited_target(const forwarding_state& state, const std::string& service, time_ms at) -> bool {
+    return !find_cold_limited_targets(state.known, service, {}, at).empty();
+}
+
+// Returns why SYNs of the route wait: its targets are full, or those that are not are cold.
+auto wait_reason(const forwarding_state& state, const route_record& route, time_ms at) -> packet_reason {
+    const auto& service = queue_service(route);
+    return !has_busy_target(state.known, service) && has_cold_limited_target(state, service, at)
+               ? packet_reason::cold_limited
+               : packet_reason::overloaded;
+}
+
+// Returns whether a SYN that is not placed for this reason may wait.
+auto may_wait(packet_reason reason) -> bool {
+    return reason == packet_reason::overloaded || reason == packet_reason::cold_limited;
+}
+
 // Records that a SYN of the route cannot be placed in time, if its service has no free slots rather than
 // targets that do not answer.
 auto record_overload_of(forwarding_state& state, const std::string& service, time_ms at) -> void {
-    if (has_busy_target(state.known, service)) {
+    if (has_busy_target(state.known, service) || has_cold_limited_target(state, service, at)) {
         record_overload(state.queues[service], state.known.startup_grace_until, at);
     }
 }
@@ -157,7 +182,7 @@
             return forward_syn(state, packet, context, flow, at);
         }
     }
-    auto verdict = refuse_syn(packet, packet_reason::overloaded);
+    auto verdict = refuse_syn(packet, wait_reason(state, route, at));
     verdict.target = flow.target;
     state.flows.erase(packet.flow);
     return verdict;
@@ -202,7 +227,7 @@
         done.opening.target = *target;
         return done;
     }
-    if (target.error() == packet_reason::overloaded && !is_over) {
+    if (may_wait(target.error()) && !is_over) {
         return std::nullopt;
     }
     done.opening.target = flow.target;
@@ -318,6 +343,9 @@
     auto& flow = state.flows[packet.flow];
     if (flow.is_open) {
         if (is_retransmitted_syn(packet, flow)) {
+            if (!send_cold_copy(state, flow.target, at)) {
+                return drop(packet_reason::cold_limited);
+            }
             return {packet_action::forward, packet_reason::established, flow.target, true, false};
         }
         release_flow(state, flow, at);
@@ -358,13 +386,16 @@
         }
         refusal = target.error();
     }
-    if (is_first && refusal == packet_reason::overloaded) {
+    if (is_first && may_wait(refusal)) {
         return handle_overload(state, packet, context, *route, flow, at);
     }
     if (is_first) {
         state.flows.erase(packet.flow);
         return refuse_syn(packet, refusal);
     }
+    if (!send_cold_copy(state, flow.target, at)) {
+        return drop(packet_reason::cold_limited);
+    }
     return {packet_action::forward, packet_reason::open_retried, flow.target, true, true};
 }
 
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -1,5 +1,6 @@
 #include <absl/algorithm/container.h>
 
+#include "edge/cold_start_func.h"
 #include "edge/placement_func.h"
 
 namespace agatepost::edge {
@@ -32,15 +33,6 @@
     return at < load.syn_backoff_until || (load.syn_backoffs != 0 && load.pending_syns != 0);
 }
 
-// Returns the rendezvous weight of a host and a target, by the finalizer of SplitMix64. Unlike the seeded
-// hashes of containers it is equal on all hosts.
-auto rendezvous_weight(std::uint32_t host, std::uint32_t carrier) -> std::uint64_t {
-    auto mixed = (static_cast<std::uint64_t>(host) << 32U) | carrier;
-    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
-    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
-    return mixed ^ (mixed >> 31U);
-}
-
 // Returns whether the next SYNs go to the target for its liveness check.
 auto needs_liveness_probe(const target_load& load) -> bool {
     return load.liveness_check_since != time_ms{} && load.pending_syns < failed_check_after_syns;
@@ -68,6 +60,14 @@
 
 }  // namespace
 
+// The finalizer of SplitMix64. Unlike the seeded hashes of containers it is equal on all hosts.
+auto rendezvous_weight(std::uint32_t host, std::uint32_t carrier) -> std::uint64_t {
+    auto mixed = (static_cast<std::uint64_t>(host) << 32U) | carrier;
+    mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+    mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+    return mixed ^ (mixed >> 31U);
+}
+
 auto assign_targets(directory& known, const std::string& zone, std::uint32_t own_address,
                     const std::vector<std::uint32_t>& other_hosts) -> void {
     for (auto& target : known.targets) {
@@ -108,7 +108,8 @@
     auto backed_off = best_target{};
     auto suspected = best_target{};
     for (const auto index : members->second) {
-        if (!takes_new_flows(known, index) || absl::c_linear_search(tried, index)) {
+        if (!takes_new_flows(known, index) || absl::c_linear_search(tried, index) ||
+            is_cold_limited(known, known.targets[index], at)) {
             continue;
         }
         const auto& target = known.targets[index];
@@ -139,7 +140,7 @@
     for (const auto index : members->second) {
         const auto& target = known.targets[index];
         if (takes_new_flows(known, index) && !is_suspect(target.load, at) &&
-            !is_backed_off(target.load, at) &&
+            !is_backed_off(target.load, at) && !is_cold_limited(known, target, at) &&
             (!best || busy_per_slot(target) < busy_per_slot(known.targets[*best]))) {
             best = index;
         }
@@ -147,6 +148,20 @@
     return best;
 }
 
+auto find_cold_limited_targets(const directory& known, const std::string& service, const tried_targets& tried,
+                               time_ms at) -> std::vector<target_index> {
+    auto limited = std::vector<target_index>{};
+    const auto members = known.by_service.find(service);
+    if (!known.cold || members == known.by_service.end()) {
+        return limited;
+    }
+    absl::c_copy_if(members->second, std::back_inserter(limited), [&](target_index index) {
+        return is_cold_limited(known, known.targets[index], at) && takes_new_flows(known, index) &&
+               !absl::c_linear_search(tried, index);
+    });
+    return limited;
+}
+
 auto expected_request_ms(const route_record& route) -> double {
     return route.request_ms != 0 ? route.request_ms
                                  : static_cast<double>(route.entry.target_latency_ms) * assumed_latency_share;
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -53,7 +53,7 @@
 auto busy_per_slot(const target_record& target) -> double;
 
 // Returns the target of a service with the lowest `busy_per_slot`, or nothing. Suspects and targets in a
-// pause after an unanswered SYN are excluded.
+// pause after an unanswered SYN are excluded, and cold targets that may get no SYN now.
 auto least_busy_target(const directory& known, const std::string& service, time_ms at)
     -> std::optional<target_index>;
 
@@ -71,6 +71,13 @@
 // leave SYNs unanswered have failed rather than being full.
 auto has_busy_target(const directory& known, const std::string& service) -> bool;
 
+// Returns the rendezvous weight of a host and a target, equal on all hosts.
+auto rendezvous_weight(std::uint32_t host, std::uint32_t carrier) -> std::uint64_t;
+
+// Returns the targets of a service that would take new flows if they were not cold, without those in `tried`.
+auto find_cold_limited_targets(const directory& known, const std::string& service, const tried_targets& tried,
+                               time_ms at) -> std::vector<target_index>;
+
 // Assigns each target of a zone to one of its hosts by rendezvous hashing, so that a host that joins or
 // leaves moves only its own share. Without other hosts, all targets belong to this host.
 auto assign_targets(directory& known, const std::string& zone, std::uint32_t own_address,
@@ -82,7 +89,7 @@
 // Returns the target of a service for a new flow, or nothing if there is none. A target that needs SYNs for
 // its liveness check comes first, then the one with the lowest expected load; `random` breaks ties. Targets
 // in a pause after an unanswered SYN are used only if no other is left, and suspects after these. Targets in
-// `tried` are excluded.
+// `tried` and cold targets that may get no SYN now are excluded.
 auto choose_target(const directory& known, const std::string& service, const flow_request& request,
                    const tried_targets& tried, time_ms at, std::minstd_rand& random)
     -> std::optional<target_index>;
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -82,6 +82,8 @@
 COUNTER(edge_abandoned, "one-way path: waiting opening packets dropped, their clients sent no further copy")
 COUNTER(edge_may_be_answered, "one-way path: waiting opening packets dropped, a target may still answer")
 COUNTER(edge_overloaded, "one-way path: reset, no target of the service would answer in time")
+COUNTER(edge_cold_skipped, "one-way path: opening packets that did not go to a target because it is cold")
+COUNTER(edge_cold_limited, "one-way path: reset or dropped, the targets left are cold and have got their openings")
 COUNTER(edge_unknown_carrier, "one-way path: dropped, the carrier names no known target")
 COUNTER(edge_unknown_carrier_reset, "one-way path: reset, the carrier names no target in a current view")
 COUNTER(edge_foreign_carrier, "one-way path: dropped, the carrier names a target of another service")
--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -149,6 +149,12 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.10:8172"), to_text(read->data_address));
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.10:7720"), to_text(read->peer_address));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{60000}, read->max_flow_ms);
+        // Cold targets are limited only if both bounds are there.
+        const auto read_with = [](const std::string& lines) {
+            return test_platform().read_settings(example_settings + lines)->cold;
+        };
+        CPPUNIT_ASSERT(!read->cold && !read_with("bounds.cold-slack=5\n"));
+        CPPUNIT_ASSERT(read_with("bounds.cold-overage=1.5\nbounds.cold-slack=5\n") == (cold_bounds{1.5, 5}));
         // The own address is no seed, and seeds get the heartbeat port.
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read->seeds.size());
         CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.40:7720"), to_text(read->seeds.front()));
@@ -166,7 +172,8 @@
 
     auto error_names_the_invalid_setting() -> void {
         for (const auto* line :
-             {"platform.address=nowhere", "bounds.grace-s=-1", "internal-port-range=7720,7721"}) {
+             {"platform.address=nowhere", "bounds.grace-s=-1", "internal-port-range=7720,7721",
+              "bounds.cold-overage=nan", "bounds.cold-slack=-1"}) {
             const auto read = test_platform().read_settings(example_settings + line + "\n");
             CPPUNIT_ASSERT(!read);
             const auto field = std::string(line).substr(0, std::string(line).find('='));
