--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -51,4 +51,5 @@
 LOG_EVENT(630, targets_in_reach, info, "the host accepts flows again after it reached no target")
 LOG_EVENT(631, zone_evacuation_started, info, "operators evacuate a zone; no new flows go to its targets")
 LOG_EVENT(632, zone_evacuation_ended, info, "the evacuation of a zone has ended; its targets get new flows again")
+LOG_EVENT(635, cold_target_limited, info, "a cold target gets no further openings of this host for now; once per start of a target")
 LOG_EVENT(626, log_lines_dropped, warning, "standard output was full; lines were dropped")
