Feature: [overflow] Hosts send a share of new flows to zones with spare capacity

Cause: a target in another zone cost a fixed 1.2 of load per slot, whatever the load of that zone. Hosts of an overloaded zone refused or delayed requests that another zone could have served.

Change: for each service, a host decides from the loads of all zones which share of its opening SYNs goes to other zones and to which (zone_overflow_func.cpp): excess demand above 0.9 of the slots, spare capacity up to 0.75, worthwhile by Sakasegawa's approximation against the round trips. The share is corrected by the requests that it has led to, since queued requests make the demand several times what arrives. A zone receives only by a load measured after the sender's excess demand began, and not while it sends there itself, so two zones do not send to each other. Zones of fewer than 20 slots receive nothing. A target in another zone counts with at least the known load of its zone. Nothing fills forwarding_state::loads yet; without loads, placement is as before.

--- a/src/cmd/edge_cmd.cpp
+++ b/src/cmd/edge_cmd.cpp
@@ -40,8 +40,12 @@
     const auto* platform = plugin_registry<edge::platform_plugin>::instance().find(options->text("platform"));
     const auto path = options->text("boot");
     const auto done = edge::run_edge_host(*platform, [&]() -> result<edge::edge_settings> {
-        return read_file(path).and_then(
-            [&](const std::string& text) { return platform->read_settings(text); });
+        return read_file(path).and_then([&](const std::string& text) {
+            return platform->read_settings(text).map([&](edge::edge_settings settings) {
+                settings.is_zone_overflow_allowed = options->text("zone-overflow") == "auto";
+                return settings;
+            });
+        });
     });
     if (!done) {
         write_log(log_event::host_start_failed, {{"error", to_text(done.error())}});
@@ -53,10 +57,10 @@
 constexpr command_plugin command = {"edge",
                                     "run a host on a platform whose targets answer clients directly",
                                     run_edge,
-                                    "[--boot=FILE]",
+                                    "[--boot=FILE] [--zone-overflow=auto|off]",
                                     "agatepost edge --boot=/etc/agatepost/boot.conf",
                                     nullptr,
-                                    "boot, platform"};
+                                    "boot,platform,zone-overflow"};
 const plugin_registration<command_plugin> registration(command);
 
 }  // namespace
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -119,6 +119,22 @@
     return out;
 }
 
+auto render_gauge(std::string_view name, std::string_view help, const std::vector<gauge_sample>& samples)
+    -> std::string {
+    const auto full_name = "agatepost_" + std::string(name);
+    auto out = std::string();
+    append_header(out, full_name, help, "gauge");
+    for (const auto& sample : samples) {
+        auto labels = std::string();
+        for (const auto& [label, value] : sample.labels) {
+            absl::StrAppend(&labels, labels.empty() ? "" : ",", to_absl(label), "=\"", escape_label(value),
+                            "\"");
+        }
+        absl::StrAppend(&out, full_name, "{", labels, "} ", nlohmann::json(sample.value).dump(), "\n");
+    }
+    return out;
+}
+
 auto render_metrics() -> std::string {
     auto out = std::string();
     append_counters(out);
--- a/src/core/metrics_func.h
+++ b/src/core/metrics_func.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace agatepost {
 
@@ -17,6 +19,16 @@
 // Renders one value as a gauge without registering it, for values whose owner may be destroyed.
 auto render_gauge(std::string_view name, std::string_view help, double value) -> std::string;
 
+// A value of a gauge with labels, by name.
+struct gauge_sample {
+    std::vector<std::pair<std::string_view, std::string>> labels;
+    double value = 0;
+};
+
+// Renders a gauge that has a value for each set of labels.
+auto render_gauge(std::string_view name, std::string_view help, const std::vector<gauge_sample>& samples)
+    -> std::string;
+
 // Renders all metrics in the Prometheus text format, version 0.0.4. All names begin with agatepost_.
 auto render_metrics() -> std::string;
 
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -22,6 +22,7 @@
 #include "edge/peer_group_base.h"
 #include "edge/store_follower_base.h"
 #include "edge/suspicion_func.h"
+#include "edge/zone_overflow_func.h"
 
 namespace agatepost::edge {
 
@@ -110,6 +111,7 @@
           sync_client_(loop_) {
         state_.known.platform = &platform_;
         state_.zone = settings_.zone;
+        state_.overflow.is_enabled = settings_.is_zone_overflow_allowed && settings_.zones.size() >= 2;
         group_.own_address = address_number(settings_.data_address.address);
         group_.zone = settings_.zone;
         // Each host needs its own random sequence.
@@ -630,6 +632,7 @@
             write_log(log_event::peer_silent, {{"peer", address_text(address)}});
         }
     }
+    update_all_overflows(state_, at);
     ready_server_.on_timer(at);
     sync_server_.on_timer(at);
     metrics_server_.on_timer(at);
@@ -725,6 +728,7 @@
     expire(at);
     log_ready();
     update_reach(at);
+    log_overflow_changes(state_.overflow);
     start_reading_packets(at);
     if (at >= next_log_) {
         next_log_ = at + log_interval_ms;
@@ -787,7 +791,7 @@
     if (target != "/metrics") {
         return {status_not_found, {}};
     }
-    return {status_ok, render_metrics()};
+    return {status_ok, render_metrics() + render_overflow_shares(state_.overflow)};
 }
 
 }  // namespace
--- a/src/edge/edge_platform_base.h
+++ b/src/edge/edge_platform_base.h
@@ -30,12 +30,16 @@
     std::int64_t max_flow_ms = 0;    // maximum duration of a flow; state of older ones may be deleted
     std::int64_t stop_limit_ms = 0;  // time from the stop signal until the platform kills the process
 
+    std::vector<std::string> zones;        // all availability zones
+    bool is_zone_overflow_allowed = true;  // by the operators
+
     friend auto operator==(const edge_settings& a, const edge_settings& b) -> bool {
         return a.host == b.host && a.zone == b.zone && a.data_address == b.data_address &&
                a.ready_address == b.ready_address && a.store_address == b.store_address &&
                a.peer_address == b.peer_address && a.sync_address == b.sync_address &&
                a.metrics_address == b.metrics_address && a.seeds == b.seeds &&
-               a.max_flow_ms == b.max_flow_ms && a.stop_limit_ms == b.stop_limit_ms;
+               a.max_flow_ms == b.max_flow_ms && a.stop_limit_ms == b.stop_limit_ms && a.zones == b.zones &&
+               a.is_zone_overflow_allowed == b.is_zone_overflow_allowed;
     }
 };
 
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -16,6 +16,8 @@
 #include "edge/placement_func.h"
 #include "edge/reach_func.h"
 #include "edge/round_trip_func.h"
+#include "edge/zone_load_type.h"
+#include "edge/zone_overflow_type.h"
 
 namespace agatepost::edge {
 
@@ -93,7 +95,8 @@
     bool is_followed_up = false;   // its client has begun another attempt instead
     bool has_seen_syn = false;     // this host saw the SYN, with sequence number `syn_sequence`
     std::uint32_t syn_sequence = 0;
-    std::uint32_t syn_copies = 0;  // number of the newest copy of the SYN
+    std::uint32_t syn_copies = 0;     // number of the newest copy of the SYN
+    std::uint32_t overflow_draw = 0;  // see receiving_zone
     time_ms last_packet;
     time_ms busy_since;
     time_ms attempt_start;             // when the client sent the first SYN
@@ -139,6 +142,8 @@
     std::vector<flow_to_reset> flows_to_reset;        // reset and emptied by the caller of handle_packet
     std::vector<target_index> presumed_dead_targets;  // for the log; emptied by the caller
     std::vector<target_index> suspected_targets;      // for the log; emptied by the caller
+    zone_loads loads;                                 // as reported by hosts of all zones
+    overflow_state overflow;
     std::minstd_rand random{1};
 };
 
--- a/src/edge/opening.cpp
+++ b/src/edge/opening.cpp
@@ -8,6 +8,7 @@
 
 #include "edge/flow_counts_func.h"
 #include "edge/suspicion_func.h"
+#include "edge/zone_overflow_func.h"
 
 namespace agatepost::edge {
 
@@ -19,6 +20,31 @@
                                         : route.requests_per_flow >= long_flow_requests;
 }
 
+// Counts the SYN of a flow at a target chosen for it.
+auto count_placed(forwarding_state& state, flow_record& flow, target_index target) -> target_index {
+    flow.tried.push_back(target);
+    flow.target = target;
+    ++load_of(state, target).pending_syns;
+    return target;
+}
+
+// Chooses a target in another zone for the SYN of a flow that spillover moves, and counts it there.
+auto place_in_other_zone(forwarding_state& state, const std::string& service, const route_record& route,
+                         flow_record& flow, time_ms at) -> std::optional<target_index> {
+    const auto request = flow_request{has_long_flows(route), state.zone};
+    const auto target = choose_overflow_target(state, service, route, request, flow, at);
+    return target ? std::optional(count_placed(state, flow, *target)) : std::nullopt;
+}
+
+// The same for a SYN that others wait before. They wait for targets of this zone, so a SYN that goes to
+// another zone delays none of them.
+auto place_ahead_of_queue(forwarding_state& state, const route_record& route, flow_record& flow, time_ms at)
+    -> bool {
+    const auto* service =
+        state.overflow.is_enabled ? choose_service(state.known, route.entry, state.random) : nullptr;
+    return service != nullptr && place_in_other_zone(state, *service, route, flow, at);
+}
+
 // Chooses one more target for the SYN of a flow and counts it there. Returns the reason if there is no
 // target, or, with `may_refuse`, none that would answer in time.
 auto place(forwarding_state& state, const route_record& route, flow_record& flow, bool may_refuse, time_ms at)
@@ -27,7 +53,13 @@
     if (service == nullptr) {
         return tl::unexpected(packet_reason::no_target);
     }
-    const auto request = flow_request{has_long_flows(route), state.zone};
+    if (const auto target = place_in_other_zone(state, *service, route, flow, at)) {
+        return *target;
+    }
+    auto request = flow_request{has_long_flows(route), state.zone};
+    if (const auto* overflow = update_overflow(state, *service, at)) {
+        request.zone_loads_per_slot = &overflow->loads_per_slot;
+    }
     auto target = choose_target(state.known, *service, request, flow.tried, at, state.random);
     if (!target) {
         return tl::unexpected(packet_reason::no_target);
@@ -40,10 +72,7 @@
             return tl::unexpected(packet_reason::overloaded);
         }
     }
-    flow.tried.push_back(*target);
-    flow.target = *target;
-    ++load_of(state, *target).pending_syns;
-    return *target;
+    return count_placed(state, flow, *target);
 }
 
 // Returns whether a SYN is a retransmission of the one that began an open flow. A client reuses ports for
@@ -342,11 +371,15 @@
     flow.syn_sequence = packet.sequence;
     if (is_first) {
         flow.syn_sent_at = at;
+        flow.overflow_draw = next_draw(state.overflow);
         flow.attempt_start = at + -attempt_age_ms(packet.acknowledgement);
         end_attempts_before(state, packet, at);
         count_route_use(state, *route);
         if (count_waiting_ahead(queue_of(state, *route), route->entry.priority, is_refused_last(*route),
                                 at) != 0) {
+            if (place_ahead_of_queue(state, *route, flow, at)) {
+                return forward_syn(state, packet, context, flow, at);
+            }
             return handle_overload(state, packet, context, *route, flow, at);
         }
     }
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -1,5 +1,7 @@
 #include <absl/algorithm/container.h>
 
+#include <algorithm>
+
 #include "edge/placement_func.h"
 
 namespace agatepost::edge {
@@ -10,6 +12,8 @@
 // with the same view do not all choose the same one.
 constexpr double equal_load_margin = 0.02;
 
+}  // namespace
+
 auto takes_new_flows(const directory& known, target_index index) -> bool {
     const auto& target = known.targets[index];
     if (target.state == presence::gone || target.entry.state != target_state::ready) {
@@ -19,6 +23,8 @@
     return holder != known.by_carrier.end() && holder->second == index;
 }
 
+namespace {
+
 // Returns whether a target is expected not to answer. After its time as a suspect it is tried with one flow
 // at a time.
 auto is_suspect(const target_load& load, time_ms at) -> bool {
@@ -41,6 +47,15 @@
     return mixed ^ (mixed >> 31U);
 }
 
+// Returns the known load per slot of a target's zone, or 0.
+auto known_zone_load(const target_record& target, const flow_request& request) -> double {
+    if (request.zone_loads_per_slot == nullptr) {
+        return 0;
+    }
+    const auto found = request.zone_loads_per_slot->find(target.entry.zone);
+    return found == request.zone_loads_per_slot->end() ? 0 : found->second;
+}
+
 // Returns whether the next SYNs go to the target for its liveness check.
 auto needs_liveness_probe(const target_load& load) -> bool {
     return load.liveness_check_since != time_ms{} && load.pending_syns < failed_check_after_syns;
@@ -92,7 +107,7 @@
         per_slot = (per_slot + idle_flow_load) * cold_slowdown;
     }
     if (target.entry.zone != request.zone) {
-        return per_slot + other_zone_load_penalty;
+        return std::max(per_slot, known_zone_load(target, request)) + other_zone_load_penalty;
     }
     return target.is_assigned_to_peer ? per_slot + peer_target_load_penalty : per_slot;
 }
@@ -112,6 +127,9 @@
             continue;
         }
         const auto& target = known.targets[index];
+        if (!request.only_zone.empty() && target.entry.zone != request.only_zone) {
+            continue;
+        }
         if (needs_liveness_probe(target.load)) {
             return index;
         }
@@ -120,6 +138,9 @@
                                                       : healthy;
         best.consider(index, expected_load(target, request, at), random);
     }
+    if (!request.only_zone.empty()) {
+        return healthy.index;
+    }
     return healthy.index ? healthy.index : backed_off.index ? backed_off.index : suspected.index;
 }
 
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -4,6 +4,7 @@
 #include <absl/container/inlined_vector.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -39,8 +40,11 @@
 
 // Properties of a new flow.
 struct flow_request {
-    bool is_long = false;   // stays open for many requests
-    std::string_view zone;  // zone of this host
+    bool is_long = false;             // stays open for many requests
+    std::string_view zone;            // zone of this host
+    std::string_view only_zone = {};  // only targets of this zone; empty: of all
+    // Known loads per slot of other zones; nullptr: none
+    const std::map<std::string, double>* zone_loads_per_slot = nullptr;
 };
 
 // Limits of the expected time of a new request, as shares of its route's target latency. Beyond the second, a
@@ -49,6 +53,9 @@
 constexpr double lower_priority_latency_share = 0.8;
 constexpr double highest_priority_latency_share = 2.0;
 
+// Returns whether new flows may be placed at a target, apart from its load and health.
+auto takes_new_flows(const directory& known, target_index index) -> bool;
+
 // Returns a target's requests in progress and pending SYNs per slot, as known to this host.
 auto busy_per_slot(const target_record& target) -> double;
 
@@ -76,13 +83,15 @@
 auto assign_targets(directory& known, const std::string& zone, std::uint32_t own_address,
                     const std::vector<std::uint32_t>& other_hosts) -> void;
 
-// Returns the expected load per slot of a target for a new flow, penalties included.
+// Returns the expected load per slot of a target for a new flow, penalties included. The load of a target in
+// another zone is at least the known load of its zone: hosts there send it requests that this host does not
+// see.
 auto expected_load(const target_record& target, const flow_request& request, time_ms at) -> double;
 
 // Returns the target of a service for a new flow, or nothing if there is none. A target that needs SYNs for
 // its liveness check comes first, then the one with the lowest expected load; `random` breaks ties. Targets
 // in a pause after an unanswered SYN are used only if no other is left, and suspects after these. Targets in
-// `tried` are excluded.
+// `tried` are excluded. With `request.only_zone`, targets in a pause and suspects are excluded too.
 auto choose_target(const directory& known, const std::string& service, const flow_request& request,
                    const tried_targets& tried, time_ms at, std::minstd_rand& random)
     -> std::optional<target_index>;
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -93,4 +93,5 @@
 COUNTER(edge_handler_failures, "one-way path: events whose handling an unexpected error ended")
 COUNTER(edge_unreadable_items, "one-way path: items of the store whose new value cannot be read")
 COUNTER(edge_store_failures, "one-way path: times that the store was lost")
+COUNTER(edge_zone_overflow, "one-way path: opening packets sent to another zone because the own one lacks capacity")
 COUNTER(edge_log_lines_dropped, "log lines dropped because standard output was full")
--- a/src/table/settings.h
+++ b/src/table/settings.h
@@ -25,3 +25,4 @@
 SETTING("log-format", choice, "text|json", "text", 0, 0, "format of log lines")
 SETTING("boot", text, "", "/etc/agatepost/boot.conf", 0, 0, "settings file that the platform writes, for the edge command")
 SETTING("platform", choice, "", "fleet", 0, 0, "platform plug-in, for the edge command")
+SETTING("zone-overflow", choice, "auto|off", "auto", 0, 0, "whether new flows go to targets of other zones when the own ones lack capacity, for the edge command")
--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -143,8 +143,10 @@
     }
 
     auto settings_are_read_and_unknown_fields_ignored() -> void {
-        const auto read = test_platform().read_settings(example_settings);
+        const auto read =
+            test_platform().read_settings(example_settings + "zones.b=r1\nzones.a=r1\nzones.=r1\n");
         CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(read->zones == std::vector<std::string>({"a", "b"}));
         CPPUNIT_ASSERT_EQUAL(std::string("a"), read->zone);
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.10:8172"), to_text(read->data_address));
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.10:7720"), to_text(read->peer_address));
