--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -24,6 +24,7 @@
 #include "edge/peer_group_base.h"
 #include "edge/store_follower_base.h"
 #include "edge/suspicion_func.h"
+#include "edge/zone_overflow_func.h"
 
 namespace agatepost::edge {
 
@@ -113,6 +114,7 @@
         state_.known.platform = &platform_;
         state_.known.cold = settings_.cold;
         state_.zone = settings_.zone;
+        state_.overflow.is_enabled = settings_.is_zone_overflow_allowed && settings_.zones.size() >= 2;
         group_.own_address = address_number(settings_.data_address.address);
         group_.zone = settings_.zone;
         // Each host needs its own random sequence.
@@ -705,6 +707,7 @@
             write_log(log_event::peer_silent, {{"peer", address_text(address)}});
         }
     }
+    update_all_overflows(state_, at);
     ready_server_.on_timer(at);
     sync_server_.on_timer(at);
     metrics_server_.on_timer(at);
@@ -801,6 +804,7 @@
     expire(at);
     log_ready();
     update_reach(at);
+    log_overflow_changes(state_.overflow);
     start_reading_packets(at);
     if (at >= next_log_) {
         next_log_ = at + log_interval_ms;
@@ -866,7 +870,7 @@
     if (target != "/metrics") {
         return {status_not_found, {}};
     }
-    return {status_ok, render_metrics()};
+    return {status_ok, render_metrics() + render_overflow_shares(state_.overflow)};
 }
 
 }  // namespace
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -16,6 +16,8 @@
 #include "edge/placement_func.h"
 #include "edge/reach_func.h"
 #include "edge/round_trip_func.h"
+#include "edge/zone_load_type.h"
+#include "edge/zone_overflow_type.h"
 
 namespace agatepost::edge {
 
@@ -98,7 +100,8 @@
     bool has_seen_syn = false;     // this host saw the SYN, with sequence number `syn_sequence`
     bool is_at_former_service = false;
     std::uint32_t syn_sequence = 0;
-    std::uint32_t syn_copies = 0;  // number of the newest copy of the SYN
+    std::uint32_t syn_copies = 0;     // number of the newest copy of the SYN
+    std::uint32_t overflow_draw = 0;  // see receiving_zone
     time_ms last_packet;
     time_ms busy_since;
     time_ms attempt_start;             // when the client sent the first SYN
@@ -146,6 +149,8 @@
     std::vector<target_index> suspected_targets;      // for the log; emptied by the caller
     std::vector<target_index> unresponsive_targets;   // to ask other hosts about; emptied by the caller
     std::vector<target_index> cold_limited_targets;   // for the log; emptied by the caller
+    zone_loads loads;                                 // as reported by hosts of all zones
+    overflow_state overflow;
     std::minstd_rand random{1};
     time_ms former_services_until;  // until then, flows may be open at services unknown to this host
 };
