Feature: [zone loads] Hosts know the load of each zone's clients by service

Cause: each host decides alone whether a target of another zone is worthwhile, and does not know how busy that zone is. Change: heartbeats have a tenth element with the sender's own counts and the newest known load of each zone, with ages (zone_load_func.cpp). A host sums the counts of its own zone's hosts, with the average in place of silent members; loads of other zones pass from host to host and are unknown after 3 s. Zones without requests for a service report 0, for 3 s after the last request known anywhere. A load that was passed on more often must be newer by 100 ms for each further hop, and is passed on at most 7 times: ages omit the time in transit, and hosts that pass a load to each other in a circle would otherwise keep it alive. Malformed reports make the heartbeat malformed. Fleets with targets in one zone send the heartbeats of before, and heartbeats of nine elements are still read. Its wiring in edge_host.cpp has no test in this repository.

--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/strip.h>
 #include <unistd.h>
 
@@ -22,6 +23,7 @@
 #include "edge/peer_group_base.h"
 #include "edge/store_follower_base.h"
 #include "edge/suspicion_func.h"
+#include "edge/zone_load_func.h"
 
 namespace agatepost::edge {
 
@@ -53,6 +55,10 @@
 // Interval of evaluating peer reports without new heartbeats; a new one is evaluated at once.
 constexpr std::int64_t peer_check_ms = 50;
 
+// Zone loads in heartbeats that waited in the socket during a pause are older than they say. After a pause
+// they are ignored for this long, in which all of them are read.
+constexpr std::int64_t load_pause_ms = 100;
+
 // In a large fleet, one heartbeat in this number also goes to the seeds, so that parts of the fleet that lost
 // contact find each other again.
 constexpr unsigned seed_interval_heartbeats = 25;
@@ -136,7 +142,11 @@
     auto send_heartbeats(time_ms at) -> void;
     auto add_seeds(std::vector<std::uint32_t>& receivers, time_ms at) -> void;
     auto report_loads(time_ms at) -> void;
-    auto send_heartbeat_to(const std::vector<std::uint32_t>& receivers, time_ms at) -> std::size_t;
+    auto send_heartbeat_to(const std::vector<std::uint32_t>& receivers, time_ms at, bool may_report = false)
+        -> std::size_t;
+    auto record_zone_loads(std::uint32_t from, const std::string& zone, const zone_report& report, time_ms at)
+        -> void;
+    auto update_zone_loads(time_ms at) -> void;
     auto make_heartbeat(time_ms at) -> heartbeat;
     auto evaluate_peer_reports(time_ms at) -> void;
     auto update_assignment(time_ms at) -> void;
@@ -194,7 +204,12 @@
     std::uint64_t assignment_revision_ = 0;
     std::vector<char> heartbeat_buffer_ = std::vector<char>(max_heartbeat_bytes);
     time_ms next_load_report_;
-    std::uint32_t instance_ = 0;  // random number of this instance
+    zone_load_exchange zone_exchange_;
+    std::set<std::string> known_zones_;  // other zones of which a load is known
+    time_ms next_zone_report_;
+    time_ms next_zone_update_;
+    time_ms ignores_loads_until_;  // after a pause
+    std::uint32_t instance_ = 0;   // random number of this instance
     time_ms started_;
     time_ms stop_began_;
     time_ms last_packet_;
@@ -250,6 +265,7 @@
         write_log(log_event::edge_resumed, {{"ms", std::to_string(at - last_observed_)}});
         record_pause(state_, at);
         has_delayed_packets_ = reads_packets_;
+        ignores_loads_until_ = at + load_pause_ms;
     }
     last_observed_ = at;
     return at;
@@ -410,7 +426,7 @@
 }
 
 auto edge_host::handle_heartbeats() -> void {
-    const auto at = boot_now();
+    const auto at = observe_time();
     auto from = sockaddr_in{};
     has_new_reports_ = true;
     for (auto i = std::size_t{0}; i < packet_batch; ++i) {
@@ -429,6 +445,9 @@
         const auto sender = ntohl(from.sin_addr.s_addr);
         state_.reach.last_peer_heard = at;
         const auto zone = beat->zone;
+        if (beat->zones && sender != group_.own_address && !is_overtaken(group_, sender, *beat)) {
+            record_zone_loads(sender, zone, *beat->zones, at);
+        }
         if (record_heartbeat(group_, state_.known, sender, std::move(*beat), at)) {
             if (logs_peers_of(zone)) {
                 write_log(log_event::peer_alive, {{"peer", address_text(sender)}, {"peer_zone", zone}});
@@ -438,6 +457,37 @@
     }
 }
 
+auto edge_host::record_zone_loads(std::uint32_t from, const std::string& zone, const zone_report& report,
+                                  time_ms at) -> void {
+    if (at < ignores_loads_until_) {
+        return;
+    }
+    const auto outcome = record_report(zone_exchange_, state_.loads, settings_.zone, from, zone, report, at);
+    count(counter::edge_zone_loads_taken, outcome.taken);
+    count(counter::edge_zone_loads_older, outcome.older);
+    count(counter::edge_zone_loads_full, outcome.full);
+}
+
+// Updates the load of the own zone and deletes loads that are too old, at most every peer_check_ms.
+auto edge_host::update_zone_loads(time_ms at) -> void {
+    if (at < next_zone_update_) {
+        return;
+    }
+    next_zone_update_ = at + peer_check_ms;
+    expire_loads(zone_exchange_, state_.loads, at);
+    if (needs_zone_loads(state_.known)) {
+        update_own_zone(zone_exchange_, state_.loads, settings_.zone, count_own_requests(state_),
+                        zone_members(group_, at), at);
+    } else {
+        zone_exchange_.hosts.clear();
+    }
+    auto zones = other_zones(state_.loads, settings_.zone);
+    if (zones != known_zones_) {
+        known_zones_ = std::move(zones);
+        write_log(log_event::zone_loads_changed, {{"known", absl::StrJoin(known_zones_, ",")}});
+    }
+}
+
 auto edge_host::make_heartbeat(time_ms at) -> heartbeat {
     auto beat = heartbeat{};
     beat.zone = settings_.zone;
@@ -461,7 +511,7 @@
     next_heartbeat_ = at + heartbeat_ms;
     auto receivers = heartbeat_receivers(group_, at, state_.random);
     add_seeds(receivers, at);
-    const auto bytes = send_heartbeat_to(receivers, at);
+    const auto bytes = send_heartbeat_to(receivers, at, true);
     loads_changed_ = false;
     const auto in_zone = zone_peers(group_, at).size();
     load_report_peers_ = in_zone <= max_load_report_peers ? in_zone : 0;
@@ -494,18 +544,30 @@
     next_load_report_ = at + load_interval_ms(in_zone.size(), bytes);
 }
 
-// Returns the size of the message; 0 without receivers.
-auto edge_host::send_heartbeat_to(const std::vector<std::uint32_t>& receivers, time_ms at) -> std::size_t {
+// With `may_report`, the message contains the zone loads if they are due. Returns the size of the message
+// without them; 0 without receivers.
+auto edge_host::send_heartbeat_to(const std::vector<std::uint32_t>& receivers, time_ms at, bool may_report)
+    -> std::size_t {
     if (receivers.empty()) {
         return 0;
     }
-    const auto bytes = encode_heartbeat(make_heartbeat(at));
+    auto beat = make_heartbeat(at);
+    auto bytes = encode_heartbeat(beat);
+    const auto bytes_without_loads = bytes.size();
+    if (may_report && at >= next_zone_report_ && needs_zone_loads(state_.known)) {
+        next_zone_update_ = at;
+        update_zone_loads(at);
+        next_zone_report_ =
+            at + add_report(beat, zone_exchange_, state_.loads, count_own_requests(state_),
+                            is_large_fleet(group_) ? large_fleet_receivers : receivers.size(), at);
+        bytes = encode_heartbeat(beat);
+    }
     for (const auto address : receivers) {
         peer_packets_.queue(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size(), address,
                             settings_.peer_address.port);
     }
     peer_packets_.send_all();
-    return bytes.size();
+    return bytes_without_loads;
 }
 
 // Evaluates the reports of other hosts after new heartbeats, and every peer_check_ms.
@@ -519,6 +581,7 @@
     choose_role(at);
     sync_with_peers(at);
     update_assignment(at);
+    update_zone_loads(at);
 }
 
 // Assigns the targets of the zone to its hosts again when its hosts or targets have changed.
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -16,6 +16,7 @@
 #include "edge/placement_func.h"
 #include "edge/reach_func.h"
 #include "edge/round_trip_func.h"
+#include "edge/zone_load_type.h"
 
 namespace agatepost::edge {
 
@@ -139,6 +140,7 @@
     std::vector<flow_to_reset> flows_to_reset;        // reset and emptied by the caller of handle_packet
     std::vector<target_index> presumed_dead_targets;  // for the log; emptied by the caller
     std::vector<target_index> suspected_targets;      // for the log; emptied by the caller
+    zone_loads loads;                                 // of all zones, by service
     std::minstd_rand random{1};
 };
 
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/cbor_func.h"
+#include "core/counter_func.h"
 #include "edge/suspicion_func.h"
 
 namespace agatepost::edge {
@@ -108,8 +109,11 @@
         loads.push_back(load.busy);
         loads.push_back(load.open);
     }
-    const auto message = json::array({beat.zone, beat.boot, beat.uptime_ms, beat.revision, beat.store_age_ms,
-                                      beat.view_age_ms, beat.is_leaving, beat.peers, std::move(loads)});
+    auto message = json::array({beat.zone, beat.boot, beat.uptime_ms, beat.revision, beat.store_age_ms,
+                                beat.view_age_ms, beat.is_leaving, beat.peers, std::move(loads)});
+    if (beat.zones) {
+        message.push_back(encode_report(*beat.zones, beat.zone));
+    }
     auto bytes = std::string();
     json::to_cbor(message, bytes);
     return bytes;
@@ -117,11 +121,12 @@
 
 auto decode_heartbeat(std::string_view bytes) -> result<heartbeat> {
     const auto message = read_cbor(bytes);
-    constexpr std::size_t parts = 9;
-    if (!message.is_array() || message.size() != parts || !message[0].is_string() || !is_u32(message[1]) ||
-        !is_age(message[2]) || !message[3].is_number_unsigned() ||
-        message[3].get<std::uint64_t>() > max_revision || !is_age(message[4]) || !is_age(message[5]) ||
-        !message[6].is_boolean() || !message[7].is_array() || !message[8].is_array()) {
+    constexpr std::size_t parts = 9;  // without zone loads
+    if (!message.is_array() || message.size() < parts || message.size() > parts + 1 ||
+        !message[0].is_string() || !is_u32(message[1]) || !is_age(message[2]) ||
+        !message[3].is_number_unsigned() || message[3].get<std::uint64_t>() > max_revision ||
+        !is_age(message[4]) || !is_age(message[5]) || !message[6].is_boolean() || !message[7].is_array() ||
+        !message[8].is_array()) {
         return malformed();
     }
     const auto& peers = message[7];
@@ -146,6 +151,13 @@
         beat.loads.push_back({loads[i].get<std::uint32_t>(), loads[i + 1].get<std::uint32_t>(),
                               loads[i + 2].get<std::uint32_t>()});
     }
+    if (message.size() > parts) {
+        beat.zones = decode_report(message[parts], beat.zone);
+        if (!beat.zones) {
+            count(counter::edge_zone_loads_malformed);
+            return malformed();
+        }
+    }
     return beat;
 }
 
@@ -157,6 +169,12 @@
     return group.peers.size() >= large_fleet_peers;
 }
 
+auto is_overtaken(const peer_group& group, std::uint32_t from, const heartbeat& beat) -> bool {
+    const auto found = group.peers.find(from);
+    return found != group.peers.end() && found->second.was_heard && found->second.last.boot == beat.boot &&
+           beat.uptime_ms < found->second.last.uptime_ms;
+}
+
 auto record_heartbeat(peer_group& group, directory& known, std::uint32_t from, heartbeat&& beat, time_ms at)
     -> bool {
     if (from == group.own_address) {
@@ -168,10 +186,10 @@
             group.peers[address].named = at;
         }
     }
-    auto& peer = group.peers[from];
-    if (peer.was_heard && peer.last.boot == beat.boot && beat.uptime_ms < peer.last.uptime_ms) {
+    if (is_overtaken(group, from, beat)) {
         return false;
     }
+    auto& peer = group.peers[from];
     const auto is_new = !is_member(group, peer, at);
     subtract_loads(peer, known);
     peer.last = std::move(beat);
--- a/src/edge/peer_group_base.h
+++ b/src/edge/peer_group_base.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "edge/forwarding_base.h"
+#include "edge/zone_load_func.h"
 
 namespace agatepost::edge {
 
@@ -43,6 +44,7 @@
 constexpr std::size_t large_fleet_peers = 12;
 constexpr std::size_t next_receivers = 2;
 constexpr std::size_t random_zone_receivers = 3;
+constexpr std::size_t large_fleet_receivers = next_receivers + random_zone_receivers + 1;  // with other zones
 
 // One heartbeat in this number goes to a host of another zone, since traffic between zones is priced. A zone
 // still receives several a second.
@@ -95,12 +97,13 @@
     bool is_leaving = false;           // it is stopping
     std::vector<std::uint32_t> peers;  // addresses of other hosts
     std::vector<peer_load> loads;
+    std::optional<zone_report> zones;  // not in every heartbeat
 
     friend auto operator==(const heartbeat& a, const heartbeat& b) -> bool {
         return a.zone == b.zone && a.boot == b.boot && a.uptime_ms == b.uptime_ms &&
                a.revision == b.revision && a.store_age_ms == b.store_age_ms &&
                a.view_age_ms == b.view_age_ms && a.is_leaving == b.is_leaving && a.peers == b.peers &&
-               a.loads == b.loads;
+               a.loads == b.loads && a.zones == b.zones;
     }
 };
 
@@ -132,6 +135,9 @@
 auto encode_heartbeat(const heartbeat& beat) -> std::string;
 auto decode_heartbeat(std::string_view bytes) -> result<heartbeat>;
 
+// Returns whether a heartbeat arrives after a later one of the same instance of its sender.
+auto is_overtaken(const peer_group& group, std::uint32_t from, const heartbeat& beat) -> bool;
+
 // Records a heartbeat: its sender, the hosts that it names and the loads that it reports. Ignores a heartbeat
 // that arrives after a later one of the same instance. Returns whether the sender is new or was silent.
 auto record_heartbeat(peer_group& group, directory& known, std::uint32_t from, heartbeat&& beat, time_ms at)
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -48,4 +48,5 @@
 LOG_EVENT(628, handler_failed, error, "an unexpected error ended the handling of one event; the host continues")
 LOG_EVENT(629, targets_out_of_reach, warning, "no target answers through this host; the host leaves the rotation temporarily")
 LOG_EVENT(630, targets_in_reach, info, "the host accepts flows again after it reached no target")
+LOG_EVENT(650, zone_loads_changed, info, "the set of other zones whose load is known has changed")
 LOG_EVENT(626, log_lines_dropped, warning, "standard output was full; lines were dropped")
