--- a/src/edge/zone_overflow_func.cpp
+++ b/src/edge/zone_overflow_func.cpp
@@ -256,7 +256,7 @@
 auto make_overflow_input(const forwarding_state& state, const std::string& service, time_ms at)
     -> overflow_input {
     auto input = overflow_input{};
-    input.service = hash_of_service(service);
+    input.service = hash_service(service);
     input.zone = state.zone;
     if (const auto members = state.known.by_service.find(service); members != state.known.by_service.end()) {
         for (const auto index : members->second) {
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -53,4 +53,5 @@
 LOG_EVENT(632, zone_evacuation_ended, info, "the evacuation of a zone has ended; its targets get new flows again")
 LOG_EVENT(635, cold_target_limited, info, "a cold target gets no further openings of this host for now; once per start of a target")
 LOG_EVENT(640, zone_overflow_changed, info, "the share of a service's new flows that goes to other zones began, ended or changed by 0.1")
+LOG_EVENT(650, zone_loads_changed, info, "the set of other zones whose load is known has changed")
 LOG_EVENT(626, log_lines_dropped, warning, "standard output was full; lines were dropped")
--- a/tests/edge_cold_start_test.cpp
+++ b/tests/edge_cold_start_test.cpp
@@ -86,7 +86,7 @@
             if (from != by && other.runs && at.value % heartbeat_ms == 0 && hears(by, from)) {
                 const auto boot = static_cast<std::uint32_t>(other.started.value);
                 record_heartbeat(group, state.known, other.address,
-                                 {"a", boot, at - other.started, 0, 0, 0, other.is_leaving, {}, {}}, at);
+                                 {"a", boot, at - other.started, 0, 0, 0, other.is_leaving, {}, {}, {}}, at);
             }
         }
         expire_peers(group, state.known, at);
--- a/tests/edge_zone_overflow_test.cpp
+++ b/tests/edge_zone_overflow_test.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t queue_per_slot = 4;  // targets of 2 slots queue 8 requests, then refuse
 
 const std::string model_service = "desk";
-const auto model_hash = hash_of_service(model_service);
+const auto model_hash = hash_service(model_service);
 
 struct model_zone {
     std::size_t slots = 100;
