Change: [zone-overflow] Long flows leave at once, and round trips use no slots of the receiver

Placement without a share weighed targets elsewhere with their zone's load, so new flows queued at home; a share of the openings moved too few of the requests; and a receiver with idle slots looked full, since a host counts a request for a round trip longer than its target works on it.

--- a/src/edge/opening.cpp
+++ b/src/edge/opening.cpp
@@ -62,10 +62,7 @@
     if (const auto target = place_in_other_zone(state, *service, route, flow, at)) {
         return *target;
     }
-    auto request = flow_request{has_long_flows(route), state.zone};
-    if (const auto* overflow = update_overflow(state, *service, at)) {
-        request.zone_loads_per_slot = &overflow->loads_per_slot;
-    }
+    const auto request = flow_request{has_long_flows(route), state.zone};
     auto target = choose_target(state.known, *service, request, flow.tried, at, state.random);
     const auto limited = find_cold_limited_targets(state.known, *service, flow.tried, at);
     record_cold_skip(state, flow, limited);
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -1,7 +1,5 @@
 #include <absl/algorithm/container.h>
 
-#include <algorithm>
-
 #include "edge/cold_start_func.h"
 #include "edge/evacuation_func.h"
 #include "edge/placement_func.h"
@@ -27,15 +25,6 @@
     return at < load.syn_backoff_until || (load.syn_backoffs != 0 && load.pending_syns != 0);
 }
 
-// Returns the known load per slot of a target's zone, or 0.
-auto known_zone_load(const target_record& target, const flow_request& request) -> double {
-    if (request.zone_loads_per_slot == nullptr) {
-        return 0;
-    }
-    const auto found = request.zone_loads_per_slot->find(target.entry.zone);
-    return found == request.zone_loads_per_slot->end() ? 0 : found->second;
-}
-
 // Returns whether the next SYNs go to the target for its liveness check.
 auto needs_liveness_probe(const target_load& load) -> bool {
     return load.liveness_check_since != time_ms{} && load.pending_syns < failed_check_after_syns;
@@ -105,7 +94,7 @@
         per_slot = (per_slot + idle_flow_load) * cold_slowdown;
     }
     if (target.entry.zone != request.zone) {
-        return std::max(per_slot, known_zone_load(target, request)) + other_zone_load_penalty;
+        return per_slot + other_zone_load_penalty;
     }
     return target.is_assigned_to_peer ? per_slot + peer_target_load_penalty : per_slot;
 }
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -43,8 +43,6 @@
     bool is_long = false;             // stays open for many requests
     std::string_view zone;            // zone of this host
     std::string_view only_zone = {};  // only targets of this zone; empty: of all
-    // Known loads per slot of other zones; nullptr: none
-    const std::map<std::string, double>* zone_loads_per_slot = nullptr;
 };
 
 // Limits of the expected time of a new request, as shares of its route's target latency. Beyond the second, a
--- a/src/edge/zone_overflow_func.cpp
+++ b/src/edge/zone_overflow_func.cpp
@@ -81,9 +81,10 @@
 // Returns the requests that a zone may hold for the sending zones together. Requests that they have there
 // already use this capacity and do not reduce it. The host's own zone also counts as sending while its share
 // falls after the end of its excess demand.
-auto spare_capacity(const zone_demands& zones, const std::string& name, const std::string& own_zone)
+auto spare_capacity(const zone_demands& zones, const std::string& name, const overflow_input& input)
     -> double {
     const auto& zone = zones.at(name);
+    const auto& own_zone = input.zone;
     // Its share for the own zone may still fall.
     const auto is_sender = zone.sent_to(own_zone) > sender_share * zone.demand;
     if (!zone.is_known || zone.excess() > 0 || is_sender ||
@@ -96,7 +97,9 @@
             received += sender.sent_to(name);
         }
     }
-    return std::max(0.0, spare_load * zone.slots - zone.load + received);
+    const auto limit =
+        std::min(spare_load * input.requests_per_slot, excess_load - min_reserved_requests / zone.slots);
+    return std::max(0.0, limit * zone.slots - zone.load + received);
 }
 
 // Returns by how much the round trip to a zone exceeds the one within the host's own zone; 0 until both are
@@ -111,6 +114,11 @@
 
 }  // namespace
 
+auto requests_per_slot(double request_ms, double round_trip_ms) -> double {
+    const auto work_ms = std::max(request_ms - round_trip_ms, request_ms / max_requests_per_slot);
+    return work_ms > 0 ? request_ms / work_ms : 1.0;
+}
+
 auto expected_wait_ms(double per_slot, double slots, double request_ms) -> double {
     if (slots <= 0) {
         return HUGE_VAL;
@@ -155,7 +163,7 @@
     auto has_spare_capacity = false;
     auto has_recent_load = false;
     for (const auto& [name, zone] : zones) {
-        const auto spare = name == input.zone ? 0.0 : spare_capacity(zones, name, input.zone) * own_part;
+        const auto spare = name == input.zone ? 0.0 : spare_capacity(zones, name, input) * own_part;
         if (spare <= 0 || own.demand <= 0) {
             continue;
         }
@@ -184,7 +192,8 @@
         decision.wanted[name] = capacity / granted_total * moved;
         decision.shares[name] = decision.wanted[name] / own.demand;
     }
-    decision.takes_long_flows = sent < moved;
+    decision.long_flow_share =
+        std::clamp((moved - sent) / (long_flow_band * std::max(own.slots, 1.0)), 0.0, 1.0);
     return decision;
 }
 
@@ -234,11 +243,13 @@
 
 auto receiving_zone(const overflow_decision& decision, std::uint32_t draw, bool is_long)
     -> const std::string* {
-    if (is_long && !decision.takes_long_flows) {
-        return nullptr;
-    }
     constexpr double draw_range = 4294967296.0;  // 2^32
     auto rest = static_cast<double>(draw) / draw_range;
+    if (is_long && rest >= decision.long_flow_share) {
+        return nullptr;
+    }
+    // The draws of long flows that leave are spread over the shares of all zones.
+    rest *= is_long ? total_share(decision) / decision.long_flow_share : 1.0;
     for (const auto& [zone, share] : decision.shares) {
         if (rest < share) {
             return &zone;
@@ -282,6 +293,10 @@
             input.round_trips_ms[zone] = estimate.smoothed_ms;
         }
     }
+    const auto own_trip = input.round_trips_ms.find(input.zone);
+    if (own_trip != input.round_trips_ms.end()) {
+        input.requests_per_slot = requests_per_slot(input.request_ms, own_trip->second);
+    }
     return input;
 }
 
--- a/src/edge/zone_overflow_func.h
+++ b/src/edge/zone_overflow_func.h
@@ -23,7 +23,8 @@
 // Demand per slot above which a zone has excess demand. Waiting times grow steeply beyond.
 constexpr double excess_load = 0.9;
 
-// Load per slot up to which a zone receives spillover. The rest is reserved for the zone's own callers.
+// Part of the slots at work up to which a zone receives spillover. The rest is reserved for the zone's own
+// callers. In requests per slot it may be more, see requests_per_slot, but it stays below `excess_load`.
 constexpr double spare_load = 0.75;
 
 // Minimum distance of the two, in requests, for a zone to receive spillover. Each host that sends may be one
@@ -43,6 +44,11 @@
 // sender's load that it still sends.
 constexpr double min_falling_requests = 3;
 
+// Missing requests in other zones, per slot of the sending zone, from which on all new long flows leave. A
+// long flow brings few requests, and those that opened before stay, so a share of the openings would take
+// long to move the same share of the requests.
+constexpr double long_flow_band = 0.1;
+
 // Part of a zone's requests in another zone from which on the zone counts as sending there.
 constexpr double sender_share = 0.01;
 
@@ -55,6 +61,9 @@
 // Minimum interval between decisions. Loads of other hosts arrive every 20 ms or more.
 constexpr std::int64_t overflow_interval_ms = 50;
 
+// Limit of the requests in progress that one slot at work accounts for; see requests_per_slot.
+constexpr double max_requests_per_slot = 2;
+
 // What a decision for one service is computed from, beside the loads.
 struct overflow_input {
     service_hash service = 0;
@@ -63,8 +72,14 @@
     double request_ms = 0;                         // expected time of a request
     std::map<std::string, double> round_trips_ms;  // by zone of the targets, where measured
     time_ms excess_since;                          // of the last decision
+    double requests_per_slot = 1;                  // see the function of this name
 };
 
+// Returns how many requests are in progress, as hosts count them, while one slot is always at work: a host
+// counts a request until it sees its client's acknowledgement, a round trip longer than the target works on
+// it.
+auto requests_per_slot(double request_ms, double round_trip_ms) -> double;
+
 // Returns the expected wait for a slot, in milliseconds, at `per_slot` requests per slot: Sakasegawa's
 // approximation of a queue with several servers below 1, at most one request time; the queue itself above.
 auto expected_wait_ms(double per_slot, double slots, double request_ms) -> double;
--- a/src/edge/zone_overflow_type.h
+++ b/src/edge/zone_overflow_type.h
@@ -27,7 +27,7 @@
     std::map<std::string, double> wanted;          // requests that should be in the receiving zones
     std::map<std::string, double> sent;            // requests that are there
     std::map<std::string, double> loads_per_slot;  // of other zones whose loads are known
-    bool takes_long_flows = false;                 // fewer requests are in other zones than should be
+    double long_flow_share = 0;                    // of the zone's opening SYNs of long flows
     time_ms excess_since;                          // start of the zone's excess demand; zero: none
     double overestimate = 1;                       // highest quotient of demand and arriving requests
     double demand = 0;                             // requests of the zone's clients, at all targets
