--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -494,7 +494,8 @@
         send_to_peers(encode_liveness_message(answer_question(state_.known, message, at)), {sender});
         return;
     }
-    record_liveness_answer(queries_, state_.known, sender, message, at);
+    const auto alive = record_liveness_answer(queries_, state_.known, sender, message, at);
+    count(counter::edge_liveness_alive, alive);
 }
 
 // Asks the other hosts about unresponsive targets, and resets the flows of those that no host finds alive.
@@ -504,6 +505,7 @@
     }
     const auto question = unsent_question(queries_, state_.known);
     if (!question.asked.empty() && !is_large_fleet(group_)) {
+        count(counter::edge_liveness_queries, question.asked.size());
         send_to_peers(encode_liveness_message(question), heartbeat_receivers(group_, at, state_.random));
     }
     for (const auto index : collect_dead_targets(queries_, state_.known, group_, at)) {
--- a/src/edge/liveness_query.cpp
+++ b/src/edge/liveness_query.cpp
@@ -125,7 +125,8 @@
 }
 
 auto record_liveness_answer(std::vector<liveness_query>& queries, directory& known, std::uint32_t host,
-                            const liveness_message& answer, time_ms at) -> void {
+                            const liveness_message& answer, time_ms at) -> std::size_t {
+    auto alive = std::size_t{0};
     for (const auto& silence : answer.silences) {
         const auto found = known.by_carrier.find(silence.carrier);
         if (found == known.by_carrier.end()) {
@@ -141,10 +142,12 @@
             clear_stalls(known.targets[index].load);
             known.targets[index].load.waiting_since = at;
             queries.erase(query);
+            ++alive;
         } else if (!absl::c_linear_search(query->silent_hosts, host)) {
             query->silent_hosts.push_back(host);
         }
     }
+    return alive;
 }
 
 auto collect_dead_targets(std::vector<liveness_query>& queries, directory& known, const peer_group& group,
--- a/src/edge/liveness_query_func.h
+++ b/src/edge/liveness_query_func.h
@@ -74,10 +74,10 @@
 auto answer_question(const directory& known, const liveness_message& question, time_ms at)
     -> liveness_message;
 
-// Records the answer of a host. A target that has answered a client of this host is alive: its query ends,
-// and its failed liveness check no longer counts.
+// Records the answer of a host. A target that has answered a client of that host is alive: its query ends,
+// and its failed liveness check no longer counts. Returns the number of these targets.
 auto record_liveness_answer(std::vector<liveness_query>& queries, directory& known, std::uint32_t host,
-                            const liveness_message& answer, time_ms at) -> void;
+                            const liveness_message& answer, time_ms at) -> std::size_t;
 
 // Removes the queries that are over, and returns the targets that every live host of the fleet, this one
 // included, has found silent. In a large fleet not all hosts are known, so that no target is returned.
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -95,6 +95,8 @@
 COUNTER(edge_not_of_a_client, "one-way path: dropped, an answer to an opening that no client sends")
 COUNTER(edge_send_failed, "one-way path: dropped, the socket did not take the packet")
 COUNTER(edge_handler_failures, "one-way path: events whose handling an unexpected error ended")
+COUNTER(edge_liveness_queries, "one-way path: silent targets that the other hosts were asked about")
+COUNTER(edge_liveness_alive, "one-way path: silent targets that had answered a client of another host")
 COUNTER(edge_unreadable_items, "one-way path: items of the store whose new value cannot be read")
 COUNTER(edge_zone_loads_taken, "one-way path: loads of other zones taken from heartbeats")
 COUNTER(edge_zone_loads_older, "one-way path: loads of other zones ignored, the known ones are as new")
--- a/tests/edge_liveness_query_test.cpp
+++ b/tests/edge_liveness_query_test.cpp
@@ -56,8 +56,9 @@
         record_heartbeat(group, state.known, address, std::move(beat), now);
     }
 
-    auto answer(std::uint32_t host, std::uint32_t silent_ms) -> void {
-        record_liveness_answer(queries, state.known, host, {{}, {{1, silent_ms}}}, now);
+    // Returns the number of targets found alive.
+    auto answer(std::uint32_t host, std::uint32_t silent_ms) -> std::size_t {
+        return record_liveness_answer(queries, state.known, host, {{}, {{1, silent_ms}}}, now);
     }
 
     auto dead() -> std::size_t { return collect_dead_targets(queries, state.known, group, now).size(); }
@@ -82,8 +83,8 @@
     // this host were reset.
     auto full_target_that_answers_other_hosts_is_not_presumed_dead() -> void {
         auto host = asking_host(2);
-        host.answer(2, never);
-        host.answer(3, 40);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.answer(2, never));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.answer(3, 40));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.dead());
         CPPUNIT_ASSERT(host.queries.empty());
         CPPUNIT_ASSERT(!is_unresponsive(host.state.known, 0, host.now));
