--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -89,9 +89,7 @@
 auto assign_targets(directory& known, const std::string& zone, std::uint32_t own_address,
                     const std::vector<std::uint32_t>& other_hosts) -> void;
 
-// Returns the expected load per slot of a target for a new flow, penalties included. The load of a target in
-// another zone is at least the known load of its zone: hosts there send it requests that this host does not
-// see.
+// Returns the expected load per slot of a target for a new flow, penalties included.
 auto expected_load(const target_record& target, const flow_request& request, time_ms at) -> double;
 
 // Returns the target of a service for a new flow, or nothing if there is none. A target that needs SYNs for
