--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -393,6 +393,7 @@
     std::int64_t next_seq = 1000;
     struct flow {
         std::uint32_t seq = 0, client_end = 0, echo = 0;
+        std::uint32_t sent = 0, answer_seq = 0;
         std::string answer;
         bool is_open = false;
         bool has_ended = false;
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -17,6 +17,10 @@
     std::uint32_t seq = 0, ack = 0, echo = 0;
     bool is_open = false;
     bool is_done = false;
+    bool is_long = false;     // the flow stays open after an answer
+    bool is_waiting = true;   // for an answer
+    std::int64_t asked = 0;   // when the request in progress was first sent
+    std::string endpoint;     // that answered last
     std::string outcome;
 };
 
@@ -121,8 +125,9 @@
     }
 
     // Sends one request on a new flow, through the host that the routers select by the flow.
-    auto send_request() -> void {
+    auto send_request(bool is_long = false) -> void {
         auto r = request{};
+        r.is_long = is_long;
         r.id = ++last_request_;
         r.port = next_port_ = static_cast<std::uint16_t>(next_port_ >= 60000 ? 1024 : next_port_ + 1);
         r.service_port = service_port;
@@ -138,6 +143,15 @@
         send_syn(kept);
     }
 
+    // Sends a further request on an open flow; it keeps the number of the flow's first request.
+    auto ask_again(request& r) -> void {
+        r.is_waiting = true;
+        r.asked = now_ms();
+        const auto* h = to_host(from_client(r, ack_flag, request_text(r)), r.port);
+        r.next = r.asked + (r.pause = 200);
+        log_.line("request " + std::to_string(r.id) + " asks again through " + (h == nullptr ? "-" : h->name));
+    }
+
     // Runs everything until `until`, with requests every `every_ms` (0: none).
     auto run_until(std::int64_t until, int every_ms) -> void {
         auto next_request = now_ms();
@@ -218,7 +232,7 @@
     auto update_requests() -> void {
         const auto at = now_ms();
         for (auto& [id, r] : requests) {
-            if (r.is_done || at < r.next) {
+            if (r.is_done || !r.is_waiting || at < r.next) {
                 continue;
             }
             if (!r.is_open) {
@@ -230,7 +244,7 @@
                 send_syn(r);
                 continue;
             }
-            if (at - r.sent > 5000) {
+            if (at - std::max(r.sent, r.asked) > 5000) {
                 end(r, "no answer");
                 continue;
             }
@@ -283,8 +297,15 @@
             r.ack += static_cast<std::uint32_t>(p.data.size());
             r.seq += static_cast<std::uint32_t>(request_text(r).size());
             r.echo = p.echo;
+            r.endpoint = p.data.substr(p.data.find("Seal: ") + 6, 12);
+            if (r.is_long) {
+                r.is_waiting = false;
+                log_.line("request " + std::to_string(r.id) + " answered by " + r.endpoint);
+                to_host(from_client(r, ack_flag, ""), r.port);
+                return;
+            }
             to_host(from_client(r, ack_flag | fin, ""), r.port);
-            end(r, "answered by " + p.data.substr(p.data.find("Seal: ") + 6, 12));
+            end(r, "answered by " + r.endpoint);
         }
     }
     auto read_endpoint(endpoint& e) -> void {
@@ -348,7 +369,7 @@
             log_.line("request " + std::to_string(id) + " runs at " + e.id);
             work_.push_back({now_ms() + work_ms, &e, p, id});
         } else if (!p.data.empty() && !f.answer.empty()) {
-            answer(p, ack_flag, f.seq + 1, f.client_end, f.echo, f.answer, e.fd);
+            answer(p, ack_flag, f.answer_seq, f.client_end, f.echo, f.answer, e.fd);
         }
         if ((p.flags & fin) != 0) {
             answer(p, ack_flag | fin, p.ack, p.seq + 1, f.echo, "", e.fd);
@@ -362,8 +383,10 @@
                 continue;
             }
             auto& f = w.at->flows[{w.asked.src, w.asked.sport}];
+            f.answer_seq = f.seq + 1 + f.sent;
             f.answer = "HTTP/1.1 200 OK\r\nServer-Seal: " + w.at->id + "\r\nContent-Length: 2\r\n\r\nok";
-            answer(w.asked, ack_flag, f.seq + 1, f.client_end, f.echo, f.answer, w.at->fd);
+            f.sent += static_cast<std::uint32_t>(f.answer.size());
+            answer(w.asked, ack_flag, f.answer_seq, f.client_end, f.echo, f.answer, w.at->fd);
         }
     }
     auto step() -> void {
