--- a/review/standin-2/foreign_entry.cpp
+++ b/review/standin-2/foreign_entry.cc
@@ -2,7 +2,7 @@
 // no configuration names, and removes it after a second.
 //
 // Arguments: FOLDER (for settings and logs), RECORD, and TROUBLE (0 or 1).
-#include "world.h"
+#include "world.hh"
 
 using namespace lab;
 
@@ -78,8 +78,8 @@
     }
     w.run_until(now_ms() + 5000, 0);
 
-    // FLOW (a): a reset that the flow's endpoint did not send, while that endpoint lives. All hosts are in touch
-    // and nothing is impaired, so no excuse applies.
+    // FLOW (a): a reset that the flow's endpoint did not send, while that endpoint lives. All hosts are in
+    // touch and nothing is impaired, so no excuse applies.
     auto resets = 0;
     auto unanswered = 0;
     for (const auto& [id, r] : w.requests) {
@@ -89,13 +89,14 @@
                      " was reset by the system");
         } else if (r.is_waiting) {
             ++unanswered;
-            log.line("request " + std::to_string(id) + " on an open flow at " + r.endpoint + " was never answered");
+            log.line("request " + std::to_string(id) + " on an open flow at " + r.endpoint +
+                     " was never answered");
         }
     }
     for (const auto& what : w.violations) {
         log.line(what);
     }
-    std::printf("%zu flows, %d open ones reset by the system, %d without an answer\n", w.requests.size(), resets,
-                unanswered);
+    std::printf("%zu flows, %d open ones reset by the system, %d without an answer\n", w.requests.size(),
+                resets, unanswered);
     return finish(resets != 0 || !w.violations.empty() ? 1 : 0);
 }
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.hh
@@ -140,10 +140,11 @@
         std::uint64_t after;
         std::int64_t due;
     };
-    static auto item(const std::string& key, const std::string& value, std::uint64_t revision) -> std::string {
+    static auto item(const std::string& key, const std::string& value, std::uint64_t revision)
+        -> std::string {
         return "{\"key\":\"" + key + "\",\"value\":\"" + base64(value) +
-               "\",\"revision\":" + std::to_string(revision) +
-               ",\"created-at\":" + std::to_string(revision) + ",\"lease\":0}";
+               "\",\"revision\":" + std::to_string(revision) + ",\"created-at\":" + std::to_string(revision) +
+               ",\"lease\":0}";
     }
     static auto parameter(const std::string& target, const std::string& name) -> std::string {
         const auto at = target.find(name + "=");
@@ -180,8 +181,8 @@
                 for (const auto& [key, value] : items_) {
                     list += (list.empty() ? "" : ",") + item(key, value.first, value.second);
                 }
-                reply(c, "{\"items\":[" + list + "],\"has-more\":false,\"store-revision\":" +
-                             std::to_string(revision_) + "}");
+                reply(c, "{\"items\":[" + list +
+                             "],\"has-more\":false,\"store-revision\":" + std::to_string(revision_) + "}");
             }
         }
         if (c.is_watching && (revision_ > c.after || now_ms() >= c.due)) {
@@ -190,9 +191,10 @@
             for (const auto& one : history_) {
                 if (one.revision > c.after) {
                     list += list.empty() ? "" : ",";
-                    list += one.is_removed ? "{\"key\":\"" + one.key + "\",\"revision\":" +
-                                                 std::to_string(one.revision) + ",\"removed\":true}"
-                                           : item(one.key, one.value, one.revision);
+                    list += one.is_removed
+                                ? "{\"key\":\"" + one.key +
+                                      "\",\"revision\":" + std::to_string(one.revision) + ",\"removed\":true}"
+                                : item(one.key, one.value, one.revision);
                 }
             }
             reply(c, "{\"events\":[" + list + "],\"store-revision\":" + std::to_string(revision_) + "}");
@@ -323,7 +325,8 @@
     const auto get = [&](std::size_t at, int n) {
         auto v = std::uint32_t{0};
         for (auto i = 0; i < n; ++i) {
-            v |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[at + static_cast<std::size_t>(i)]))
+            v |= static_cast<std::uint32_t>(
+                     static_cast<unsigned char>(bytes[at + static_cast<std::size_t>(i)]))
                  << (8 * i);
         }
         return v;
--- a/review/standin-2/takeover.cpp
+++ b/review/standin-2/takeover.cc
@@ -1,7 +1,7 @@
 // Script of case 6: the host that watches the store is cut off from it just after it had an answer.
 //
 // Arguments: FOLDER (for settings and logs), RECORD, and TROUBLE (0 or 1).
-#include "world.h"
+#include "world.hh"
 
 using namespace lab;
 
@@ -96,7 +96,8 @@
     for (const auto& what : w.violations) {
         log.line(what);
     }
-    std::printf("%zu requests run, %d of them after drain-ms at a draining endpoint through a host in touch\n",
-                w.runs.size(), late);
+    std::printf(
+        "%zu requests run, %d of them after drain-ms at a draining endpoint through a host in touch\n",
+        w.runs.size(), late);
     return finish(late != 0 || !w.violations.empty() ? 1 : 0);
 }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.hh
@@ -1,7 +1,7 @@
 // The world of a script: hosts, routers, clients, endpoints and the operator, and the log of requests.
 #pragma once
 
-#include "lab.h"
+#include "lab.hh"
 
 namespace lab {
 
@@ -9,18 +9,18 @@
 struct request {
     int id = 0;
     std::uint16_t port = 0, service_port = 0;
-    std::string host;        // that the router gave the SYN to
-    std::int64_t sent = 0;   // first SYN
-    std::int64_t next = 0;   // next copy or retransmission
+    std::string host;       // that the router gave the SYN to
+    std::int64_t sent = 0;  // first SYN
+    std::int64_t next = 0;  // next copy or retransmission
     std::int64_t pause = 200;
     int copies = 0;
     std::uint32_t seq = 0, ack = 0, echo = 0;
     bool is_open = false;
     bool is_done = false;
-    bool is_long = false;     // the flow stays open after an answer
-    bool is_waiting = true;   // for an answer
-    std::int64_t asked = 0;   // when the request in progress was first sent
-    std::string endpoint;     // that answered last
+    bool is_long = false;    // the flow stays open after an answer
+    bool is_waiting = true;  // for an answer
+    std::int64_t asked = 0;  // when the request in progress was first sent
+    std::string endpoint;    // that answered last
     std::string outcome;
 };
 
@@ -35,8 +35,11 @@
 public:
     // `net`: second number of all addresses. `folder`: for settings and logs.
     world(int net, const std::string& folder, record& log)
-        : prefix_("127." + std::to_string(net) + "."), folder_(folder), log_(log),
-          platform_(ip("0.200"), 9000), router_(open_socket(SOCK_DGRAM, ip("0.250"), 0, false)),
+        : prefix_("127." + std::to_string(net) + "."),
+          folder_(folder),
+          log_(log),
+          platform_(ip("0.200"), 9000),
+          router_(open_socket(SOCK_DGRAM, ip("0.250"), 0, false)),
           client_(open_socket(SOCK_DGRAM, ip("3.1"), data_port, false)) {}
 
     std::list<host> hosts;
@@ -55,7 +58,8 @@
 
     auto add_host(const std::string& name, const std::string& rest, const std::string& zone,
                   const std::string& zones, const std::string& seeds) -> host& {
-        hosts.push_back({name, ip(rest), zone, folder_ + "/" + name + ".conf", folder_ + "/" + name + ".log"});
+        hosts.push_back(
+            {name, ip(rest), zone, folder_ + "/" + name + ".conf", folder_ + "/" + name + ".log"});
         auto& h = hosts.back();
         const auto path_ip = ip("2." + rest.substr(2));
         store_paths[name] = std::make_unique<tcp_proxy>(path_ip, 9000, ip("0.200"), 9000);
@@ -63,15 +67,16 @@
         if (file == nullptr) {
             cannot_run("settings of " + name);
         }
-        std::fprintf(file,
-                     "node-name=%s\nrole=edge\nmachine-class=edge\nserves=edge,control_plane\nip=%s\nzone=%s\n"
-                     "region=r\n%sbind-addresses.datagram-address=%s:%d\nbind-addresses.ready-address=%s:%d\n"
-                     "bind-addresses.control=%s:8166\ninternal-port-range=7720,7735\nseeds=%s\n"
-                     "bootstrap=true\ncounts-as-loss=false\nheartbeat-ms=770\nbounds.contact-ms=4000\n"
-                     "bounds.drain-ms=3000\nbounds.config-ms=3000\nbounds.grace-s=6\nbounds.max-flow-s=60\n"
-                     "hash=steady\nform=echo\nplatform.address=%s:9000\nplatform.form=kv\n",
-                     name.c_str(), h.ip.c_str(), zone.c_str(), zones.c_str(), h.ip.c_str(), data_port,
-                     h.ip.c_str(), ready_port, h.ip.c_str(), seeds.c_str(), path_ip.c_str());
+        std::fprintf(
+            file,
+            "node-name=%s\nrole=edge\nmachine-class=edge\nserves=edge,control_plane\nip=%s\nzone=%s\n"
+            "region=r\n%sbind-addresses.datagram-address=%s:%d\nbind-addresses.ready-address=%s:%d\n"
+            "bind-addresses.control=%s:8166\ninternal-port-range=7720,7735\nseeds=%s\n"
+            "bootstrap=true\ncounts-as-loss=false\nheartbeat-ms=770\nbounds.contact-ms=4000\n"
+            "bounds.drain-ms=3000\nbounds.config-ms=3000\nbounds.grace-s=6\nbounds.max-flow-s=60\n"
+            "hash=steady\nform=echo\nplatform.address=%s:9000\nplatform.form=kv\n",
+            name.c_str(), h.ip.c_str(), zone.c_str(), zones.c_str(), h.ip.c_str(), data_port, h.ip.c_str(),
+            ready_port, h.ip.c_str(), seeds.c_str(), path_ip.c_str());
         std::fclose(file);
         return h;
     }
@@ -80,7 +85,8 @@
         const auto number = ++last_endpoint_;
         auto e = endpoint{};
         char id[32];
-        std::snprintf(id, sizeof id, "i-%010llx", 0x9e16b78000ULL + static_cast<unsigned long long>(number) * 7919);
+        std::snprintf(id, sizeof id, "i-%010llx",
+                      0x9e16b78000ULL + static_cast<unsigned long long>(number) * 7919);
         e.id = id;
         e.tag = std::strtoull(id + 2, nullptr, 16);
         e.service = service;
@@ -110,14 +116,13 @@
 
     auto write_configuration(const std::string& routes) -> void {
         version_ += 2;
-        platform_.put("op/config",
-                      "{\"version\":" + std::to_string(version_) + ",\"routes\":[" + routes +
-                          "],\"services\":[{\"name\":\"core\",\"health-check-path\":\"/health\","
-                          "\"max-connections\":2000}],\"limits\":{\"idle-timeout-ms\":15000}}");
+        platform_.put("op/config", "{\"version\":" + std::to_string(version_) + ",\"routes\":[" + routes +
+                                       "],\"services\":[{\"name\":\"core\",\"health-check-path\":\"/health\","
+                                       "\"max-connections\":2000}],\"limits\":{\"idle-timeout-ms\":15000}}");
         log_.line("store ack configuration version " + std::to_string(version_));
     }
-    static auto route(const std::string& name, const std::string& address, int port, const std::string& service,
-                      const std::string& kind, int timeout_ms) -> std::string {
+    static auto route(const std::string& name, const std::string& address, int port,
+                      const std::string& service, const std::string& kind, int timeout_ms) -> std::string {
         return "{\"name\":\"" + name + "\",\"hostname\":\"" + address + "\",\"prefix\":\"/" +
                std::to_string(port) + "/\",\"service\":\"" + service + "\",\"route-type\":\"" + kind +
                "\",\"timeout-ms\":" + std::to_string(timeout_ms) +
@@ -149,7 +154,8 @@
         r.asked = now_ms();
         const auto* h = to_host(from_client(r, ack_flag, request_text(r)), r.port);
         r.next = r.asked + (r.pause = 200);
-        log_.line("request " + std::to_string(r.id) + " asks again through " + (h == nullptr ? "-" : h->name));
+        log_.line("request " + std::to_string(r.id) + " asks again through " +
+                  (h == nullptr ? "-" : h->name));
     }
 
     // Runs everything until `until`, with requests every `every_ms` (0: none).
@@ -211,8 +217,8 @@
         return h;
     }
     auto from_client(const request& r, std::uint8_t flags, const std::string& data) const -> packet {
-        return {r.seq, r.ack, number_of(ip("3.1")), number_of("198.18.0.1"), r.port, r.service_port,
-                flags, r.echo, data};
+        return {r.seq,  r.ack, number_of(ip("3.1")), number_of("198.18.0.1"), r.port, r.service_port, flags,
+                r.echo, data};
     }
     auto send_syn(request& r) -> void {
         auto p = from_client(r, syn, "");
@@ -279,7 +285,8 @@
             return;
         }
         if (sum != sum_of(p)) {
-            violations.push_back("MIXED: a changed packet reached the client of request " + std::to_string(r.id));
+            violations.push_back("MIXED: a changed packet reached the client of request " +
+                                 std::to_string(r.id));
             return;
         }
         if ((p.flags & syn) != 0) {
@@ -310,7 +317,8 @@
     }
     auto read_endpoint(endpoint& e) -> void {
         char buffer[2048];
-        for (auto got = recv(e.fd, buffer, sizeof buffer, 0); got > 0; got = recv(e.fd, buffer, sizeof buffer, 0)) {
+        for (auto got = recv(e.fd, buffer, sizeof buffer, 0); got > 0;
+             got = recv(e.fd, buffer, sizeof buffer, 0)) {
             auto tag = std::uint64_t{0};
             for (auto i = 0; i < 8 && got >= 8; ++i) {
                 tag = (tag << 8U) | static_cast<unsigned char>(buffer[i]);
@@ -328,8 +336,8 @@
             on_endpoint_packet(e, p);
         }
     }
-    auto answer(const packet& to, std::uint8_t flags, std::uint32_t seq, std::uint32_t ack, std::uint32_t echo,
-                const std::string& data, int fd) -> void {
+    auto answer(const packet& to, std::uint8_t flags, std::uint32_t seq, std::uint32_t ack,
+                std::uint32_t echo, const std::string& data, int fd) -> void {
         const auto p = packet{seq, ack, to.dst, to.src, to.dport, to.sport, flags, echo, data};
         const auto bytes = encode(p);
         const auto a = make_address(ip("3.1"), data_port);
