Add: [review] Case 8: unreadable bytes over a registration make hosts reset requests in progress

Cause: an entry that becomes unreadable marks its live target as gone at once, and the first retransmission of a request that takes longer than 200 ms resets its flow. Change: a script with stand-ins. No code of the project is changed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in takeover foreign_entry; do
+for name in takeover foreign_entry overwritten_entry; do
     g++ -std=c++17 -O2 -Wall -Wextra -o "target/review-2/$name" "review/standin-2/$name.cc"
 done
