Change: [review] The stand-ins of review 2 use loopback addresses only, also for the service

Cause: the service address in packets and routes was not a loopback address, though nothing was sent to it. Change: an address of the script's own network.

--- a/review/standin-2/overwritten_entry.cc
+++ b/review/standin-2/overwritten_entry.cc
@@ -19,7 +19,7 @@
     w.add_host("a2", "1.12", "za", zones, seeds);
     w.add_host("b1", "1.13", "zb", zones, seeds);
     w.add_host("c1", "1.14", "zc", zones, seeds);
-    w.write_configuration(world::route("feed", "198.18.0.1", 443, "core", "idempotent", 3000));
+    w.write_configuration(world::route("feed", w.ip("9.1"), 443, "core", "idempotent", 3000));
     for (const auto* zone : {"za", "za", "za", "za", "zb", "zb", "zc", "zc"}) {
         w.add_endpoint("core", zone);
     }
--- a/review/standin-2/world.hh
+++ b/review/standin-2/world.hh
@@ -217,7 +217,7 @@
         return h;
     }
     auto from_client(const request& r, std::uint8_t flags, const std::string& data) const -> packet {
-        return {r.seq,  r.ack, number_of(ip("3.1")), number_of("198.18.0.1"), r.port, r.service_port, flags,
+        return {r.seq,  r.ack, number_of(ip("3.1")), number_of(ip("9.1")), r.port, r.service_port, flags,
                 r.echo, data};
     }
     auto send_syn(request& r) -> void {
