Fix: [platform] A registration that no target can have is rejected

Here such an entry became a target: with port 0 it got flows that nobody answered, and a cold-remaining-ms of 2^63-1 overflowed the end of its cold start; large numbers of slots overflowed their sums.

Cause: types of fields were checked, ranges only in part.

--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/strings/escaping.h>
 
+#include <limits>
+
 #include "edge_test_func.h"
 
 namespace agatepost::edge {
@@ -69,6 +71,7 @@
     CPPUNIT_TEST(error_names_the_invalid_setting);
     CPPUNIT_TEST(registration_is_read);
     CPPUNIT_TEST(error_names_the_field_of_an_invalid_registration);
+    CPPUNIT_TEST(registration_that_no_target_can_have_is_rejected);
     CPPUNIT_TEST(key_with_more_than_an_id_registers_no_target);
     CPPUNIT_TEST(longer_id_keeps_its_tag_and_has_a_carrier);
     CPPUNIT_TEST(configuration_is_read);
@@ -226,6 +229,19 @@
         CPPUNIT_ASSERT(fault_of_target("born", 1.5).find("born") != std::string::npos);
     }
 
+    // Another writer's entry was used as a target: flows were sent to port 0, and the end of a cold start
+    // overflowed.
+    auto registration_that_no_target_can_have_is_rejected() -> void {
+        for (const auto* address : {"10.0.0.1:0", "0.0.0.0:8000", "224.0.0.1:8000", "255.255.255.255:8000"}) {
+            CPPUNIT_ASSERT(fault_of_target("address", address).find("address") != std::string::npos);
+        }
+        constexpr auto highest = std::numeric_limits<std::int64_t>::max();
+        CPPUNIT_ASSERT(fault_of_target("cold-remaining-ms", highest).find("cold-") != std::string::npos);
+        CPPUNIT_ASSERT(fault_of_target("slots", 1U << 31U).find("slots") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string(), fault_of_target("cold-remaining-ms", 3600000));
+        CPPUNIT_ASSERT_EQUAL(std::string(), fault_of_target("address", "10.0.0.1:65535"));
+    }
+
     // Another writer's entry took over the carrier of a target, so its flows were led elsewhere.
     auto key_with_more_than_an_id_registers_no_target() -> void {
         const auto item = target_item({"a/i-1"}, 1);
