--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -242,6 +242,12 @@
     }
 }
 
+// Frees the value. Other writers' values may be large and many, and clearing a string keeps its memory.
+auto discard_value(known_item& item) -> void {
+    item.value.clear();
+    item.value.shrink_to_fit();
+}
+
 // Drops the older half of the removals if there are more than `max_removals_kept`.
 auto limit_removals(directory& known) -> void {
     auto revisions = std::vector<std::uint64_t>{};
@@ -280,6 +286,7 @@
     auto meaning = known.platform->read_item(item.key, item.value);
     if (!meaning) {
         stored.is_unreadable = true;
+        discard_value(stored);  // unreadable at other hosts as well
         apply_unreadable(known, previous.target, at);
         return {directory_change::unreadable,
                 previous.is_unreadable ? std::nullopt : std::optional<error>(meaning.error())};
@@ -291,7 +298,7 @@
     if (auto* table = std::get_if<route_table>(&*meaning)) {
         return {apply_routes(known, std::move(*table)), std::nullopt};
     }
-    stored.value.clear();  // not used by other hosts either
+    discard_value(stored);  // not used by other hosts either
     if (const auto* evacuation = std::get_if<zone_evacuation>(&*meaning)) {
         return {start_evacuation(known, stored, *evacuation), std::nullopt};
     }
--- a/tests/edge_directory_test.cpp
+++ b/tests/edge_directory_test.cpp
@@ -1,6 +1,7 @@
 // Directory of targets and routes: older items revert no change, registrations that lapse during an outage of
 // the store do not remove live targets, and an unreadable item affects nothing else.
 
+#include "edge/peer_group_base.h"
 #include "edge/suspicion_func.h"
 #include "edge_test_func.h"
 
@@ -15,6 +16,7 @@
     CPPUNIT_TEST(removal_affects_no_target_of_another_key);
     CPPUNIT_TEST(unreadable_registration_of_a_draining_target_resets_no_flow);
     CPPUNIT_TEST(repeated_unreadable_value_is_reported_once);
+    CPPUNIT_TEST(unreadable_value_is_not_stored);
     CPPUNIT_TEST(unreadable_configuration_keeps_the_previous_one);
     CPPUNIT_TEST(removed_target_is_gone_but_its_carrier_is_known);
     CPPUNIT_TEST(lapsed_target_stays_in_use_for_the_grace_period);
@@ -100,6 +102,24 @@
         CPPUNIT_ASSERT(!again.fault);
     }
 
+    // 40 values of 1 MB took more memory than some machines have, at the host that watches and at each host
+    // that read them from it.
+    auto unreadable_value_is_not_stored() -> void {
+        constexpr std::size_t max_kept_bytes = 64;
+        auto state = test_state({{"i-1"}});
+        apply_item(state.known, {"servers/i-1", std::string(1U << 20U, '['), 10, false}, test_start);
+        apply_item(state.known, {"somebody/else", std::string(1U << 20U, '['), 11, false}, test_start);
+        for (const auto* key : {"servers/i-1", "somebody/else"}) {
+            CPPUNIT_ASSERT(state.known.items.at(key).value.capacity() < max_kept_bytes);
+        }
+        // A host that reads the changes treats the item alike.
+        const auto changes = decode_changes(encode_changes(state.known, 9));
+        auto other = test_state({{"i-1"}});
+        const auto outcome = apply_item(other.known, changes->items.at(0), test_start);
+        CPPUNIT_ASSERT(outcome.change == directory_change::unreadable);
+        CPPUNIT_ASSERT(state_of(other, "i-1") == state_of(state, "i-1"));
+    }
+
     auto unreadable_configuration_keeps_the_previous_one() -> void {
         auto state = test_state({});
         const auto outcome = apply_item(state.known, {"op/config", "{]", 10, false}, test_start);
--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -9,6 +9,7 @@
 #include <limits>
 
 #include "edge_test_func.h"
+#include "platform/store_messages_func.h"
 
 namespace agatepost::edge {
 
@@ -72,6 +73,7 @@
     CPPUNIT_TEST(registration_is_read);
     CPPUNIT_TEST(error_names_the_field_of_an_invalid_registration);
     CPPUNIT_TEST(registration_that_no_target_can_have_is_rejected);
+    CPPUNIT_TEST(oversized_registration_is_rejected_unparsed);
     CPPUNIT_TEST(key_with_more_than_an_id_registers_no_target);
     CPPUNIT_TEST(longer_id_keeps_its_tag_and_has_a_carrier);
     CPPUNIT_TEST(configuration_is_read);
@@ -242,6 +244,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), fault_of_target("address", "10.0.0.1:65535"));
     }
 
+    // Parsing 1 MB of nested arrays takes more memory than some machines have.
+    auto oversized_registration_is_rejected_unparsed() -> void {
+        const auto valid = target_item({"i-1"}, 1).value;
+        const auto padded = valid + std::string(platform::max_registration_bytes - valid.size(), ' ');
+        CPPUNIT_ASSERT(test_platform().read_item("servers/i-1", padded).has_value());
+        const auto read = test_platform().read_item("servers/i-1", padded + " ");
+        CPPUNIT_ASSERT(!read);
+        CPPUNIT_ASSERT(read.error().message.find("servers/i-1") != std::string::npos);
+    }
+
     // Another writer's entry took over the carrier of a target, so its flows were led elsewhere.
     auto key_with_more_than_an_id_registers_no_target() -> void {
         const auto item = target_item({"a/i-1"}, 1);
