Fix: [edge] The size limit of HTTP answers holds, and a watch beyond it leads to a new listing

Cause: the parser of Boost 1.74 does not enforce its limit if the body begins in the same read as the header, so an answer of any size was read into memory: the answer to a watch has no limit in the pages, 40 values of 1 MB make 54 MB. With a limit that holds, repeating such a watch would fail for ever, and the host would stop following the store. Change: the client checks the size itself, 4 MiB in place of 8, and names the error by its kind. The follower then lists, since pages of a listing are limited.

--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -12,6 +12,7 @@
     invalid_setting,     // a flag or environment variable is unknown or out of range
     invalid_document,    // a configuration document is malformed or inconsistent
     invalid_message,     // a message from a peer or the store cannot be decoded
+    message_too_large,   // a message from a peer or the store is larger than its reader allows
     not_found,           // the named object does not exist
     conflict,            // another operator changed the object first
     store_unavailable,   // the store cannot be reached or answered with a failure
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -250,6 +250,9 @@
         count(counter::edge_store_failures);
         write_log(log_event::store_lost, {{"fault", to_text(fault)}});
     };
+    events.on_listing_needed = [](std::string_view reason) {
+        write_log(log_event::store_listed_again, {{"reason", std::string(reason)}});
+    };
     events.on_store_regained = [](std::int64_t away_ms) {
         write_log(log_event::store_regained, {{"away_ms", std::to_string(away_ms)}});
     };
--- a/src/edge/http.cpp
+++ b/src/edge/http.cpp
@@ -17,7 +17,8 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t read_bytes = 16384;
-constexpr std::size_t max_body_bytes = 8U << 20U;  // a page of the store is about 1 MB, in base64
+// A page of the store is about 1 MB, in base64. Reading an answer takes five times its size.
+constexpr std::size_t max_body_bytes = 4U << 20U;
 constexpr std::size_t max_request_bytes = 8192;
 constexpr std::size_t max_connections = 64;
 constexpr std::int64_t idle_connection_ms = 30000;
@@ -32,6 +33,14 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+// Whether the body exceeds the limit. The parser's own limit is not enforced if the body begins in the same
+// read as the header.
+template <typename Parser>
+auto is_too_large(const Parser& parser) -> bool {
+    return (parser.is_header_done() && parser.content_length().value_or(0) > max_body_bytes) ||
+           parser.get().body().size() > max_body_bytes;
+}
+
 }  // namespace
 
 // Reads one response.
@@ -146,6 +155,10 @@
     while (!reader_->unparsed.empty() && !parser.is_done()) {
         const auto used = parser.put(boost::asio::buffer(reader_->unparsed), code);
         reader_->unparsed.erase(0, used);
+        if (code == http::error::body_limit || is_too_large(parser)) {
+            fail("the answer is too large", error_kind::message_too_large);
+            return;
+        }
         if (code == http::error::need_more) {
             return;
         }
@@ -172,10 +185,10 @@
     }
 }
 
-auto http_client::fail(const std::string& what) -> void {
+auto http_client::fail(const std::string& what, error_kind kind) -> void {
     const auto server = to_text(server_);
     close();
-    finish(make_error(error_kind::network, "call to " + server + " failed: " + what,
+    finish(make_error(kind, "call to " + server + " failed: " + what,
                       "check that the server runs and can be reached"));
 }
 
--- a/src/edge/http_base.h
+++ b/src/edge/http_base.h
@@ -34,7 +34,8 @@
     ~http_client();
 
     // Sends GET `target` to a server; `done` is called once, from the loop, at the latest by on_timer after
-    // the deadline. No other call may be in progress.
+    // the deadline. An answer whose body exceeds the limit is an error of kind message_too_large. No other
+    // call may be in progress.
     auto call(const endpoint& server, const std::string& target, time_ms deadline, on_answer done) -> void;
 
     // Fails the call whose deadline has passed.
@@ -53,7 +54,7 @@
     auto on_ready(std::uint32_t events) -> void;
     auto read_answer() -> void;
     auto finish(result<http_answer> answer) -> void;
-    auto fail(const std::string& what) -> void;
+    auto fail(const std::string& what, error_kind kind = error_kind::network) -> void;
     auto close() -> void;
 
     event_loop& loop_;
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -75,14 +75,17 @@
 
 auto store_follower::on_answer(result<http_answer> answer, bool is_listing) -> void {
     const auto at = boot_now();
+    if (!answer && !is_listing && answer.error().kind == error_kind::message_too_large) {
+        // The pages of a listing are limited; the same watch would fail again.
+        list_again("the answer to the watch is too large", at);
+        return;
+    }
     if (!answer) {
         on_failure(answer.error(), at);
         return;
     }
     if (!is_listing && answer->status == status_gone) {
-        needs_listing_ = true;
-        list_after_key_.clear();
-        next_call_ = at;
+        list_again("the store has discarded the history", at);
         return;
     }
     if (answer->status != status_ok) {
@@ -145,9 +148,7 @@
         write_log(log_event::revision_false, {{"known", std::to_string(watch_start_revision_)},
                                               {"store", std::to_string(page.revision)}});
         discard_invalid_revisions(known_, page.revision);
-        needs_listing_ = true;
-        list_after_key_.clear();
-        next_call_ = at;
+        list_again("the known revision is invalid", at);
         return;
     }
     apply(page, at);
@@ -177,6 +178,14 @@
     events_.on_store_regained(at - lost_since_);
 }
 
+// Starts a new listing, since a watch from the known revision cannot go on.
+auto store_follower::list_again(std::string_view reason, time_ms at) -> void {
+    needs_listing_ = true;
+    list_after_key_.clear();
+    next_call_ = at;
+    events_.on_listing_needed(reason);
+}
+
 auto store_follower::on_failure(const error& fault, time_ms at) -> void {
     is_unconfirmed_ = true;
     if (!is_lost_) {
--- a/src/edge/store_follower_base.h
+++ b/src/edge/store_follower_base.h
@@ -42,6 +42,7 @@
     std::function<void(const store_item& item, const item_outcome& outcome)> on_item;
     std::function<void(const std::string& name)> on_target_gone;  // a listing no longer has it
     std::function<void(const error& fault)> on_store_lost;
+    std::function<void(std::string_view reason)> on_listing_needed;  // a watch cannot go on
     std::function<void(std::int64_t away_ms)> on_store_regained;
     // The directory's revision or completeness changed, or its view is confirmed after a takeover or an
     // outage.
@@ -78,6 +79,7 @@
     auto on_list_page(const store_page& page, time_ms at) -> void;
     auto on_watch_page(const store_page& page, time_ms at) -> void;
     auto on_answer(result<http_answer> answer, bool is_listing) -> void;
+    auto list_again(std::string_view reason, time_ms at) -> void;
     auto on_failure(const error& fault, time_ms at) -> void;
     auto record_success(time_ms at) -> void;
     auto record_complete(time_ms since) -> void;
--- a/tests/edge_follower_test.cpp
+++ b/tests/edge_follower_test.cpp
@@ -67,6 +67,7 @@
     std::minstd_rand random{1};
     int lost = 0;
     int regained = 0;
+    int listed_again = 0;
     int news = 0;
     std::vector<std::string> gone;
     store_follower follower{loop, known, {address, test_watch_wait_ms}, make_events(), random};
@@ -78,6 +79,7 @@
         events.on_item = [](const store_item&, const item_outcome&) {};
         events.on_target_gone = [this](const std::string& key) { gone.push_back(key); };
         events.on_store_lost = [this](const error&) { ++lost; };
+        events.on_listing_needed = [this](std::string_view) { ++listed_again; };
         events.on_store_regained = [this](std::int64_t) { ++regained; };
         events.on_news = [this] { ++news; };
         return events;
@@ -106,6 +108,7 @@
     CPPUNIT_TEST(invalid_revision_leads_to_a_new_listing);
     CPPUNIT_TEST(refused_calls_are_retried_with_pauses);
     CPPUNIT_TEST(malformed_answer_counts_as_an_outage);
+    CPPUNIT_TEST(watch_answer_that_is_too_large_leads_to_a_new_listing);
     CPPUNIT_TEST(removals_after_an_outage_count_as_lapses);
     CPPUNIT_TEST(removals_without_an_outage_are_final);
     CPPUNIT_TEST(silent_connection_is_replaced);
@@ -193,6 +196,22 @@
         CPPUNIT_ASSERT_EQUAL(1, test.lost);
     }
 
+    // Another writer wrote many values of 1 MB. The pages of a listing are limited, the answer to a watch is
+    // not: reading it takes more memory than some machines have, and repeating the watch never brings a
+    // change.
+    auto watch_answer_that_is_too_large_leads_to_a_new_listing() -> void {
+        auto test = follower_fixture{};
+        CPPUNIT_ASSERT(test.server.listen(test.address).has_value());
+        test.store.listings = {page_answer("items", {target_item({"i-1"}, 4)}, 4),
+                               page_answer("items", {target_item({"i-2"}, 60)}, 60)};
+        const auto large = store_item{"servers/x", std::string(9U << 20U, 'x'), 59, false};
+        test.store.watches = {page_answer("events", {large}, 60), page_answer("events", {}, 60)};
+        test.run_until([&] { return test.known.by_name.count("i-2") != 0; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, test.known.revision);
+        CPPUNIT_ASSERT_EQUAL(1, test.listed_again);
+        CPPUNIT_ASSERT_EQUAL(0, test.lost);
+    }
+
     auto removals_after_an_outage_count_as_lapses() -> void {
         auto test = follower_fixture{};
         CPPUNIT_ASSERT(test.server.listen(test.address).has_value());
