Fix: [edge] A watch that is answered with 410 again and again causes at most 2 calls a second

Each call is priced, and beyond its rate the store answers 429 to all hosts. Cause: a watch that cannot go on leads to a listing at once, and a listing to a watch at once. Change: the first listing still follows at once; until a watch has succeeded, the next ones wait 200 ms, doubled up to 2 s, each random between half and all of it.

--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -152,6 +152,7 @@
         return;
     }
     apply(page, at);
+    relist_pause_ms_ = 0;
     const auto is_newer = page.revision > known_.revision;
     known_.revision = std::max(known_.revision, page.revision);
     next_call_ = page.items.empty() ? at : at + watch_pause_ms;
@@ -182,10 +183,17 @@
 auto store_follower::list_again(std::string_view reason, time_ms at) -> void {
     needs_listing_ = true;
     list_after_key_.clear();
-    next_call_ = at;
+    next_call_ = at + random_part(relist_pause_ms_);
+    relist_pause_ms_ = std::clamp(2 * relist_pause_ms_, relist_pause_ms, relist_pause_limit_ms);
     events_.on_listing_needed(reason);
 }
 
+// Returns a random time between half and all of a pause.
+auto store_follower::random_part(std::int64_t pause_ms) -> std::int64_t {
+    const auto half = static_cast<std::uint32_t>(pause_ms / 2);
+    return half == 0 ? 0 : half + static_cast<std::int64_t>(random_() % half);
+}
+
 auto store_follower::on_failure(const error& fault, time_ms at) -> void {
     is_unconfirmed_ = true;
     if (!is_lost_) {
@@ -193,8 +201,7 @@
         lost_since_ = at;
         events_.on_store_lost(fault);
     }
-    const auto half = static_cast<std::uint32_t>(pause_ms_ / 2);
-    next_call_ = at + half + static_cast<std::int64_t>(random_() % half);
+    next_call_ = at + random_part(pause_ms_);
     pause_ms_ = std::min(pause_ms_ * 2, retry_pause_limit_ms);
 }
 
--- a/src/edge/store_follower_base.h
+++ b/src/edge/store_follower_base.h
@@ -26,6 +26,12 @@
 constexpr std::int64_t retry_pause_ms = 200;
 constexpr std::int64_t retry_pause_limit_ms = 800;
 
+// Pause before a listing that follows on another without a successful watch between them: doubled up to the
+// limit, and each random between half and all of it. A listing and its watch are then at most 2 calls a
+// second.
+constexpr std::int64_t relist_pause_ms = 200;
+constexpr std::int64_t relist_pause_limit_ms = 2000;
+
 // The store, and the wait of a watch: one without changes is answered after it, and a dead connection is
 // detected shortly after it.
 struct follower_settings {
@@ -79,6 +85,7 @@
     auto on_list_page(const store_page& page, time_ms at) -> void;
     auto on_watch_page(const store_page& page, time_ms at) -> void;
     auto on_answer(result<http_answer> answer, bool is_listing) -> void;
+    auto random_part(std::int64_t pause_ms) -> std::int64_t;
     auto list_again(std::string_view reason, time_ms at) -> void;
     auto on_failure(const error& fault, time_ms at) -> void;
     auto record_success(time_ms at) -> void;
@@ -99,6 +106,7 @@
     time_ms lost_since_;
     time_ms next_call_;
     std::int64_t pause_ms_ = retry_pause_ms;
+    std::int64_t relist_pause_ms_ = 0;  // before the next listing
     // State of the listing in progress.
     std::string list_after_key_;
     std::uint64_t list_revision_ = 0;
--- a/tests/edge_follower_test.cpp
+++ b/tests/edge_follower_test.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(listing_is_read_page_by_page_and_watched_from_its_first_revision);
     CPPUNIT_TEST(watch_brings_changes);
     CPPUNIT_TEST(compacted_history_leads_to_a_new_listing);
+    CPPUNIT_TEST(watches_that_never_succeed_cause_few_calls);
     CPPUNIT_TEST(invalid_revision_leads_to_a_new_listing);
     CPPUNIT_TEST(refused_calls_are_retried_with_pauses);
     CPPUNIT_TEST(malformed_answer_counts_as_an_outage);
@@ -155,6 +156,27 @@
         CPPUNIT_ASSERT_EQUAL(0, test.lost);
     }
 
+    // A store that came back from an older copy discards each watch: 4,200 listings a second followed. All
+    // calls are priced, and beyond its rate the store refuses the calls of all hosts.
+    auto watches_that_never_succeed_cause_few_calls() -> void {
+        auto test = follower_fixture{};
+        CPPUNIT_ASSERT(test.server.listen(test.address).has_value());
+        test.store.listings = {page_answer("items", {target_item({"i-1"}, 4)}, 4)};
+        test.store.watches = {{410, ""}};
+        const auto calls_in = [&](std::int64_t ms) {
+            test.store.targets.clear();
+            const auto end = boot_now() + ms;
+            test.run_until([&] { return boot_now() >= end; });
+            return test.store.targets.size();
+        };
+        const auto first = calls_in(1000);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(first), first <= 10);
+        calls_in(2000);
+        const auto later = calls_in(4000);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(later), later <= 2 * 4 + 1);
+        CPPUNIT_ASSERT_EQUAL(0, test.lost);
+    }
+
     // A peer reported an invalid revision and a target that the store does not have. A watch from that
     // revision would never return a change, and the target would stay in use after each listing.
     auto invalid_revision_leads_to_a_new_listing() -> void {
