Feature: [edge, platform] A store that comes back from an older copy: one order of era and revision

Cause: what a host knows was ordered by the revision alone, which the store gives out again. Change: the header Store-Era of each answer goes before the revision, in what a host knows, in heartbeats, in requests for changes and in their answers. Hosts take a higher era from another host as a whole. Answers of a lower era change nothing; an invalid era is counted and logged once a minute. Without the header everything is as before. Not yet: a property test against a model, returns in the soak.

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -150,7 +150,8 @@
         return directory_change::none;
     }
     auto& record = known.targets[found->second];
-    if (at < known.lapse_grace_until && record.entry.state == target_state::ready) {
+    const auto may_lapse = record.entry.state == target_state::ready || at < known.era_grace_until;
+    if (at < known.lapse_grace_until && may_lapse) {
         record.state = presence::lapsed;
         record.changed_at = at;
         return directory_change::target_lapsed;
@@ -274,6 +275,7 @@
     if (stored.revision >= item.revision) {
         return {};
     }
+    known.unsettled_evacuations.erase(item.key);
     const auto previous = std::exchange(stored, {item.value, item.revision, item.is_removed, {}, false, {}});
     if (item.is_removed) {
         auto change = end_evacuation(known, item.key, previous);
@@ -305,6 +307,24 @@
     return {};
 }
 
+auto apply_registered_again(directory& known, const store_item& item, time_ms at) -> item_outcome {
+    const auto stored = known.items.find(item.key);
+    const auto found =
+        stored == known.items.end() ? known.by_name.end() : known.by_name.find(stored->second.target);
+    if (found == known.by_name.end()) {
+        return apply_item(known, item, at);
+    }
+    const auto index = found->second;
+    const auto started_ms = known.targets[index].entry.started_ms;
+    const auto cold_until = known.targets[index].cold_until;
+    auto outcome = apply_item(known, item, at);
+    auto& record = known.targets[index];
+    if (record.entry.started_ms == started_ms) {
+        record.cold_until = cold_until;
+    }
+    return outcome;
+}
+
 auto remove_unlisted(directory& known, const absl::flat_hash_map<std::string, bool>& listed,
                      std::uint64_t first_revision, time_ms at) -> std::vector<std::string> {
     auto missing = std::vector<std::string>{};
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -135,13 +135,25 @@
     std::optional<error> fault;  // why the item is unreadable; empty if its previous value was too
 };
 
+// An evacuation that was ordered or taken back before the store came back from an older copy, and not since.
+struct unsettled_evacuation {
+    std::string zone;
+    bool is_in_store = false;  // the copy has its item
+
+    friend auto operator==(const unsettled_evacuation& a, const unsettled_evacuation& b) -> bool {
+        return a.zone == b.zone && a.is_in_store == b.is_in_store;
+    }
+};
+
 // The content of the store as known to this host. Only the functions below change it.
 struct directory {
     const platform_plugin* platform = nullptr;
+    std::uint64_t era = 0;                     // of all revisions here; 0: the store does not tell it
     std::uint64_t revision = 0;                // all changes up to this revision are known
     std::uint64_t removals_dropped_up_to = 0;  // `items` may lack removals up to this revision
     bool is_complete = false;                  // a complete listing was read
     time_ms lapse_grace_until;                 // removals learned before this time may be lapses
+    time_ms era_grace_until;                   // the same for draining targets, after a change of the era
     time_ms startup_grace_until;               // end of the startup grace period; see `startup_grace_ms`
     std::int64_t configuration_version = -1;
     std::int64_t idle_timeout_ms = 0;
@@ -159,6 +171,7 @@
     absl::flat_hash_map<std::uint64_t, route_record> routes;
     absl::flat_hash_map<std::string, known_item> items;
     absl::flat_hash_set<std::string> evacuated_zones;  // no new flows go to their targets
+    absl::flat_hash_map<std::string, unsettled_evacuation> unsettled_evacuations;  // by key
 };
 
 // Key of a route by its service address.
@@ -170,6 +183,10 @@
 // key registered before, and no other; an unreadable configuration leaves the previous one in use.
 auto apply_item(directory& known, const store_item& item, time_ms at) -> item_outcome;
 
+// Applies an item that the store has again after it came back from an older copy, as apply_item does. The
+// cold start of an instance that is known already goes on.
+auto apply_registered_again(directory& known, const store_item& item, time_ms at) -> item_outcome;
+
 // Removes the items that a complete listing lacks, except those newer than its first page. Returns their
 // keys.
 auto remove_unlisted(directory& known, const absl::flat_hash_map<std::string, bool>& listed,
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 #include <unistd.h>
 
@@ -23,6 +24,7 @@
 #include "edge/liveness_query_func.h"
 #include "edge/packet_io_base.h"
 #include "edge/peer_group_base.h"
+#include "edge/store_era_func.h"
 #include "edge/store_follower_base.h"
 #include "edge/store_watch_func.h"
 #include "edge/suspicion_func.h"
@@ -74,6 +76,7 @@
 constexpr auto batches_per_event = 4;
 
 constexpr std::string_view sync_path = "/changes?after=";
+constexpr std::string_view sync_era = "&era=";  // follows unless the era is 0, which earlier builds imply
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -95,6 +98,29 @@
     return address;
 }
 
+// Returns the path and query of a read of the changes after a position from another host.
+auto sync_target(store_position after) -> std::string {
+    auto target = absl::StrCat(std::string(sync_path), after.revision);
+    if (after.era != 0) {
+        absl::StrAppend(&target, std::string(sync_era), after.era);
+    }
+    return target;
+}
+
+// Reads what sync_target returns; empty for anything else.
+auto read_sync_target(std::string_view target) -> std::optional<store_position> {
+    auto rest = absl::string_view(target.data(), target.size());
+    if (!absl::ConsumePrefix(&rest, absl::string_view(sync_path.data(), sync_path.size()))) {
+        return std::nullopt;
+    }
+    const std::pair<absl::string_view, absl::string_view> parts =
+        absl::StrSplit(rest, absl::MaxSplits(absl::string_view(sync_era.data(), sync_era.size()), 1));
+    auto after = store_position{};
+    const auto is_valid = absl::SimpleAtoi(parts.first, &after.revision) &&
+                          (parts.second.empty() || absl::SimpleAtoi(parts.second, &after.era));
+    return is_valid ? std::optional<store_position>(after) : std::nullopt;
+}
+
 auto install_signal_handlers() -> void {
     std::signal(SIGTERM, [](int) { stop_requested = 1; });
     std::signal(SIGINT, [](int) { stop_requested = 1; });
@@ -117,8 +143,8 @@
           sync_server_(loop_, [this](std::string_view target) { return answer_sync(target); }),
           metrics_server_(loop_, [this](std::string_view target) { return answer_metrics(target); }),
           timing_(make_watch_timing(settings_.change_bound_ms)),
-          follower_(loop_, state_.known, {settings_.store_address, timing_.wait_ms}, make_follower_events(),
-                    state_.random),
+          follower_(loop_, state_.known, {settings_.store_address, timing_.wait_ms, platform_.era_header},
+                    make_follower_events(), state_.random),
           sync_client_(loop_) {
         state_.known.platform = &platform_;
         state_.known.cold = settings_.cold;
@@ -164,8 +190,11 @@
     auto update_assignment(time_ms at) -> void;
     auto update_cold_assignment(time_ms at) -> void;
     auto sync_with_peers(time_ms at) -> void;
-    auto apply_changes(std::uint32_t peer, std::uint64_t reported_revision, const result<http_answer>& answer)
+    auto apply_changes(std::uint32_t peer, store_position reported, const result<http_answer>& answer)
         -> void;
+    auto apply_changes_of_era(const peer_changes& changes, time_ms at) -> void;
+    auto log_era(const era_change& change, std::string_view source) -> void;
+    auto log_invalid_era(const error& fault, time_ms at) -> void;
     auto choose_role(time_ms at) -> void;
     auto expire(time_ms at) -> void;
     auto reload(const settings_reader& read_settings) -> void;
@@ -215,11 +244,11 @@
     bool has_new_reports_ = false;       // from other hosts, not evaluated yet
     time_ms next_peer_check_;
     std::vector<std::uint32_t> assignment_hosts_;  // other hosts that the targets of the zone are assigned to
-    std::uint64_t assignment_revision_ = 0;
+    store_position assignment_position_;
     std::vector<liveness_query> queries_;
     // Other hosts that cold targets are assigned to; nothing: this host sends them no SYNs.
     std::optional<std::vector<cold_zone_host>> cold_hosts_;
-    std::uint64_t cold_revision_ = 0;
+    store_position cold_position_;
     time_ms cold_known_since_;  // start of this host, or end of its last pause
     std::vector<char> heartbeat_buffer_ = std::vector<char>(max_heartbeat_bytes);
     time_ms next_load_report_;
@@ -237,6 +266,7 @@
     time_ms next_expiry_;
     time_ms next_log_;
     time_ms behind_since_;
+    time_ms next_era_line_;
     bool is_behind_ = false;
 };
 
@@ -256,6 +286,8 @@
     events.on_store_regained = [](std::int64_t away_ms) {
         write_log(log_event::store_regained, {{"away_ms", std::to_string(away_ms)}});
     };
+    events.on_era = [this](const era_change& change) { log_era(change, "store"); };
+    events.on_era_invalid = [this](const error& fault) { log_invalid_era(fault, boot_now()); };
     // Reports the new revision, or the end of a takeover, to other hosts at once.
     events.on_news = [this] { next_heartbeat_ = time_ms{}; };
     return events;
@@ -550,7 +582,9 @@
     beat.zone = settings_.zone;
     beat.boot = instance_;
     beat.uptime_ms = at - started_;
-    beat.revision = state_.known.is_complete ? state_.known.revision : 0;
+    const auto position = position_of(state_.known);
+    beat.era = position.era;
+    beat.revision = position.revision;
     beat.store_age_ms = zone_view_age_ms(group_, follower_.view_age_ms(at), at);
     beat.view_age_ms = own_view_age_ms(at);
     beat.is_leaving = is_stopping_;
@@ -652,10 +686,10 @@
     if (hosts.size() < min_assignment_peers) {
         hosts.clear();
     }
-    if (hosts == assignment_hosts_ && assignment_revision_ == state_.known.revision) {
+    if (hosts == assignment_hosts_ && assignment_position_ == position_of(state_.known)) {
         return;
     }
-    assignment_revision_ = state_.known.revision;
+    assignment_position_ = position_of(state_.known);
     assignment_hosts_ = std::move(hosts);
     assign_targets(state_.known, settings_.zone, group_.own_address, assignment_hosts_);
 }
@@ -669,17 +703,17 @@
     auto hosts = is_stopping_
                      ? std::nullopt
                      : find_cold_zone_hosts(group_, !settings_.seeds.empty(), at - cold_known_since_, at);
-    if (hosts == cold_hosts_ && cold_revision_ == state_.known.revision) {
+    if (hosts == cold_hosts_ && cold_position_ == position_of(state_.known)) {
         return;
     }
-    cold_revision_ = state_.known.revision;
+    cold_position_ = position_of(state_.known);
     cold_hosts_ = std::move(hosts);
     assign_cold_targets(state_.known, settings_.zone, group_.own_address, cold_hosts_);
 }
 
 auto edge_host::choose_role(time_ms at) -> void {
     // Until it has a complete listing, each host reads the store itself.
-    record_confirmations(group_, state_.known.is_complete ? state_.known.revision : 0, at);
+    record_confirmations(group_, position_of(state_.known), at);
     const auto watches = !state_.known.is_complete ||
                          should_watch(group_, timing_, follower_.is_enabled(), follower_.view_age_ms(at), at);
     if (watches != follower_.is_enabled()) {
@@ -693,7 +727,7 @@
     if (sync_client_.is_busy()) {
         return;
     }
-    const auto own = state_.known.is_complete ? state_.known.revision : 0;
+    const auto own = position_of(state_.known);
     const auto peer = newest_peer(group_, own, at);
     if (!peer) {
         is_behind_ = false;
@@ -712,48 +746,94 @@
         return;
     }
     const auto server = endpoint{to_address(*peer), settings_.sync_address.port};
-    const auto reported_revision = group_.peers.at(*peer).last.revision;
-    sync_client_.call(server, absl::StrCat(std::string(sync_path), own), at + sync_timeout_ms,
-                      [this, peer = *peer, reported_revision](const result<http_answer>& answer) {
-                          apply_changes(peer, reported_revision, answer);
+    const auto reported = position_of(group_.peers.at(*peer).last);
+    sync_client_.call(server, sync_target(own), at + sync_timeout_ms,
+                      [this, peer = *peer, reported](const result<http_answer>& answer) {
+                          apply_changes(peer, reported, answer);
                       });
 }
 
-auto edge_host::apply_changes(std::uint32_t peer, std::uint64_t reported_revision,
-                              const result<http_answer>& answer) -> void {
+auto edge_host::apply_changes(std::uint32_t peer, store_position reported, const result<http_answer>& answer)
+    -> void {
     const auto at = boot_now();
     is_behind_ = false;
     const auto changes =
         answer ? decode_changes(answer->body) : result<peer_changes>(tl::unexpected<error>(answer.error()));
-    if (!changes || changes->revision < reported_revision) {
+    if (!changes || store_position{changes->era, changes->revision} < reported) {
         avoid_peer(group_, peer, at);
         write_log(log_event::peer_read_failed,
                   {{"peer", address_text(peer)},
-                   {"told", std::to_string(reported_revision)},
+                   {"told", std::to_string(reported.revision)},
+                   {"told_era", std::to_string(reported.era)},
                    {"fault", changes ? "sent revision " + std::to_string(changes->revision)
                                      : to_text(changes.error())}});
     }
     if (!changes || changes->revision == 0) {
         return;
     }
+    apply_changes_of_era(*changes, at);
+    has_new_reports_ = true;  // the peer may have more by now
+    if (is_large_fleet(group_)) {
+        next_heartbeat_ = at;  // reports the new position
+    }
+}
+
+// Takes the changes of the own era, or all items of a higher one in a single step. Changes of a lower era are
+// of no use.
+auto edge_host::apply_changes_of_era(const peer_changes& changes, time_ms at) -> void {
+    const auto is_other_era = state_.known.is_complete && changes.era != state_.known.era;
+    if (is_other_era) {
+        if (changes.era > state_.known.era && changes.is_whole) {
+            log_era(adopt_era(state_.known, {changes.era, changes.revision}, changes.items, at), "host");
+            follower_.restart(at);
+        }
+        return;
+    }
+    if (!state_.known.is_complete && changes.era != state_.known.era) {
+        discard_invalid_revisions(state_.known, 0);  // items of a listing of another era in progress
+        state_.known.era = changes.era;
+        follower_.restart(at);
+    }
     auto listed = absl::flat_hash_map<std::string, bool>{};
-    for (const auto& item : changes->items) {
+    for (const auto& item : changes.items) {
         listed[item.key] = true;
         const auto outcome = apply_item(state_.known, item, at);
         if (outcome.change != directory_change::none) {
             log_item(item, outcome, state_.known);
         }
     }
-    if (changes->is_whole) {
-        for (const auto& key : remove_unlisted(state_.known, listed, changes->revision, at)) {
+    if (changes.is_whole) {
+        for (const auto& key : remove_unlisted(state_.known, listed, changes.revision, at)) {
             log_unlisted(key, state_.known);
         }
     }
-    state_.known.revision = std::max(state_.known.revision, changes->revision);
+    state_.known.revision = std::max(state_.known.revision, changes.revision);
     state_.known.is_complete = true;
-    has_new_reports_ = true;  // the peer may have more by now
-    if (is_large_fleet(group_)) {
-        next_heartbeat_ = at;  // reports the new revision
+}
+
+auto edge_host::log_era(const era_change& change, std::string_view source) -> void {
+    const auto text = [](const era_counts& counts) {
+        return absl::StrCat("kept ", counts.kept, ", replaced ", counts.replaced, ", dropped ",
+                            counts.dropped);
+    };
+    count(counter::edge_eras);
+    write_log(log_event::store_era_changed, {{"from_era", std::to_string(change.from.era)},
+                                             {"to_era", std::to_string(change.to.era)},
+                                             {"from_revision", std::to_string(change.from.revision)},
+                                             {"to_revision", std::to_string(change.to.revision)},
+                                             {"source", std::string(source)},
+                                             {"targets", text(change.targets)},
+                                             {"configurations", text(change.configurations)},
+                                             {"evacuations", text(change.evacuations)}});
+}
+
+// Counts each answer without a valid era, and logs one a minute.
+auto edge_host::log_invalid_era(const error& fault, time_ms at) -> void {
+    constexpr std::int64_t interval_ms = 60000;
+    count(counter::edge_era_invalid);
+    if (at >= next_era_line_) {
+        next_era_line_ = at + interval_ms;
+        write_log(log_event::store_era_invalid, {{"fault", to_text(fault)}});
     }
 }
 
@@ -775,6 +855,11 @@
             write_log(log_event::peer_silent, {{"peer", address_text(address)}});
         }
     }
+    for (const auto& zone : settle_evacuations(state_.known, at)) {
+        const auto is_evacuated = state_.known.evacuated_zones.count(zone) != 0;
+        write_log(is_evacuated ? log_event::zone_evacuation_started : log_event::zone_evacuation_ended,
+                  {{"evacuated_zone", zone}, {"revision", std::to_string(state_.known.revision)}});
+    }
     update_all_overflows(state_, at);
     ready_server_.on_timer(at);
     sync_server_.on_timer(at);
@@ -919,26 +1004,22 @@
 
 auto edge_host::answer_ready(std::string_view target) -> http_answer {
     if (!platform_.is_ready_check(target)) {
-        return {status_not_found, {}};
+        return {status_not_found, {}, {}};
     }
-    return {is_ready() ? status_ok : status_unavailable, {}};
+    return {is_ready() ? status_ok : status_unavailable, {}, {}};
 }
 
 auto edge_host::answer_sync(std::string_view target) -> http_answer {
-    auto after = std::uint64_t{0};
-    auto rest = absl::string_view(target.data(), target.size());
-    if (!absl::ConsumePrefix(&rest, absl::string_view(sync_path.data(), sync_path.size())) ||
-        !absl::SimpleAtoi(rest, &after)) {
-        return {status_not_found, {}};
-    }
-    return {status_ok, encode_changes(state_.known, after)};
+    const auto after = read_sync_target(target);
+    return after ? http_answer{status_ok, encode_changes(state_.known, *after), {}}
+                 : http_answer{status_not_found, {}, {}};
 }
 
 auto edge_host::answer_metrics(std::string_view target) -> http_answer {
     if (target != "/metrics") {
-        return {status_not_found, {}};
+        return {status_not_found, {}, {}};
     }
-    return {status_ok, render_metrics() + render_overflow_shares(state_.overflow)};
+    return {status_ok, render_metrics() + render_overflow_shares(state_.overflow), {}};
 }
 
 }  // namespace
--- a/src/edge/edge_platform_base.h
+++ b/src/edge/edge_platform_base.h
@@ -78,6 +78,11 @@
     auto(*list_request)(std::string_view after_key) -> std::string;
     // Returns path and query of a watch of all items after a revision.
     auto(*watch_request)(std::uint64_t after_revision, std::int64_t wait_ms) -> std::string;
+    // Name of the header of the store's answers that tells its era.
+    std::string_view era_header;
+    // Reads the era from the values of all these headers of an answer; empty if there are none. The error
+    // says what is invalid.
+    auto(*read_era)(const std::vector<std::string>& values) -> result<std::optional<std::uint64_t>>;
     // Reads the answer to a listing or a watch.
     auto(*read_page)(std::string_view body) -> result<store_page>;
     // Decodes an item. The error names the field.
--- a/src/edge/http.cpp
+++ b/src/edge/http.cpp
@@ -49,7 +49,8 @@
     std::string unparsed;
 };
 
-http_client::http_client(event_loop& loop) : loop_(loop) {}
+http_client::http_client(event_loop& loop, std::string_view kept_header)
+    : loop_(loop), kept_header_(kept_header) {}
 
 http_client::~http_client() {
     close();
@@ -169,7 +170,12 @@
     }
     if (parser.is_done()) {
         const auto keep = parser.keep_alive() && got != 0;
-        auto answer = http_answer{parser.get().result_int(), std::move(parser.get().body())};
+        auto answer = http_answer{parser.get().result_int(), std::move(parser.get().body()), {}};
+        const auto kept = parser.get().equal_range(kept_header_);
+        for (auto field = kept.first; field != kept.second; ++field) {
+            const auto value = field->value();
+            answer.headers.push_back({kept_header_, std::string(value.data(), value.size())});
+        }
         if (!keep) {
             close();
         }
@@ -303,7 +309,11 @@
         const auto answer = respond_(std::string_view(target.data(), target.size()));
         absl::StrAppend(&peer.unsent, "HTTP/1.1 ", answer.status, " ",
                         std::string(http::obsolete_reason(static_cast<http::status>(answer.status))),
-                        "\r\nContent-Length: ", answer.body.size(), "\r\n\r\n", answer.body);
+                        "\r\nContent-Length: ", answer.body.size(), "\r\n");
+        for (const auto& header : answer.headers) {
+            absl::StrAppend(&peer.unsent, header.name, ": ", header.value, "\r\n");
+        }
+        absl::StrAppend(&peer.unsent, "\r\n", answer.body);
     }
     return true;
 }
--- a/src/edge/http_base.h
+++ b/src/edge/http_base.h
@@ -7,18 +7,30 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "edge/event_loop_base.h"
 
 namespace agatepost::edge {
 
+// A header field of a response.
+struct http_header {
+    std::string name;
+    std::string value;
+
+    friend auto operator==(const http_header& a, const http_header& b) -> bool {
+        return a.name == b.name && a.value == b.value;
+    }
+};
+
 // Response to a request.
 struct http_answer {
     unsigned status = 0;
     std::string body;
+    std::vector<http_header> headers{};  // a client has only those that it was asked to keep
 
     friend auto operator==(const http_answer& a, const http_answer& b) -> bool {
-        return a.status == b.status && a.body == b.body;
+        return a.status == b.status && a.body == b.body && a.headers == b.headers;
     }
 };
 
@@ -28,7 +40,8 @@
 public:
     using on_answer = std::function<void(result<http_answer>)>;
 
-    explicit http_client(event_loop& loop);
+    // Answers contain the headers with the name `kept_header`, if one is given.
+    explicit http_client(event_loop& loop, std::string_view kept_header = {});
     http_client(const http_client&) = delete;
     auto operator=(const http_client&) -> http_client& = delete;
     ~http_client();
@@ -58,6 +71,7 @@
     auto close() -> void;
 
     event_loop& loop_;
+    std::string kept_header_;
     file_descriptor socket_;
     endpoint server_;
     std::string unsent_;
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -31,6 +31,21 @@
     return value.is_number_unsigned() && value.get<std::uint64_t>() <= max_age_ms;
 }
 
+// Encodes a position as its revision, or as era and revision. Earlier builds reject the latter, so that they
+// never mix revisions of two eras.
+auto encode_position(store_position position) -> json {
+    return position.era == 0 ? json(position.revision) : json::array({position.era, position.revision});
+}
+
+auto decode_position(const json& value) -> std::optional<store_position> {
+    const auto has_era = value.is_array() && value.size() == 2 && value[0].is_number_unsigned();
+    const auto& revision = has_era ? value[1] : value;
+    if (!revision.is_number_unsigned() || revision.get<std::uint64_t>() > max_revision) {
+        return std::nullopt;
+    }
+    return store_position{has_era ? value[0].get<std::uint64_t>() : 0, revision.get<std::uint64_t>()};
+}
+
 auto subtract_loads(peer_record& peer, directory& known) -> void {
     for (const auto& applied : peer.applied) {
         auto& target = known.targets[applied.target];
@@ -95,8 +110,9 @@
         loads.push_back(load.busy);
         loads.push_back(load.open);
     }
-    auto message = json::array({beat.zone, beat.boot, beat.uptime_ms, beat.revision, beat.store_age_ms,
-                                beat.view_age_ms, beat.is_leaving, beat.peers, std::move(loads)});
+    auto message =
+        json::array({beat.zone, beat.boot, beat.uptime_ms, encode_position(position_of(beat)),
+                     beat.store_age_ms, beat.view_age_ms, beat.is_leaving, beat.peers, std::move(loads)});
     if (beat.zones) {
         message.push_back(encode_report(*beat.zones, beat.zone));
     }
@@ -109,15 +125,14 @@
     const auto message = read_cbor(bytes);
     constexpr std::size_t parts = 9;  // without zone loads
     if (!message.is_array() || message.size() < parts || message.size() > parts + 1 ||
-        !message[0].is_string() || !is_u32(message[1]) || !is_age(message[2]) ||
-        !message[3].is_number_unsigned() || message[3].get<std::uint64_t>() > max_revision ||
-        !is_age(message[4]) || !is_age(message[5]) || !message[6].is_boolean() || !message[7].is_array() ||
-        !message[8].is_array()) {
+        !message[0].is_string() || !is_u32(message[1]) || !is_age(message[2]) || !is_age(message[4]) ||
+        !is_age(message[5]) || !message[6].is_boolean() || !message[7].is_array() || !message[8].is_array()) {
         return malformed();
     }
+    const auto position = decode_position(message[3]);
     const auto& peers = message[7];
     const auto& loads = message[8];
-    if (peers.size() > max_named_peers || loads.size() % 3 != 0 ||
+    if (!position || peers.size() > max_named_peers || loads.size() % 3 != 0 ||
         !std::all_of(peers.begin(), peers.end(), is_u32) ||
         !std::all_of(loads.begin(), loads.end(), is_u32)) {
         return malformed();
@@ -126,7 +141,8 @@
     beat.zone = message[0].get<std::string>();
     beat.boot = message[1].get<std::uint32_t>();
     beat.uptime_ms = message[2].get<std::int64_t>();
-    beat.revision = message[3].get<std::uint64_t>();
+    beat.era = position->era;
+    beat.revision = position->revision;
     beat.store_age_ms = message[4].get<std::int64_t>();
     beat.view_age_ms = message[5].get<std::int64_t>();
     beat.is_leaving = message[6].get<bool>();
@@ -291,20 +307,23 @@
                       min_load_report_ms * hosts, heartbeat_ms);
 }
 
-auto newest_peer(const peer_group& group, std::uint64_t revision, time_ms at)
-    -> std::optional<std::uint32_t> {
+auto position_of(const heartbeat& beat) -> store_position {
+    return {beat.era, beat.revision};
+}
+
+auto newest_peer(const peer_group& group, store_position own, time_ms at) -> std::optional<std::uint32_t> {
     auto best = std::optional<std::uint32_t>{};
-    auto best_revision = revision;
+    auto best_position = own;
     auto best_is_in_zone = false;
     for (const auto& [address, peer] : group.peers) {
         const auto is_in_zone = peer.last.zone == group.zone;
-        if (!is_alive(peer, at) || peer.last.revision <= revision || at < peer.avoided_until) {
+        const auto position = position_of(peer.last);
+        if (!is_alive(peer, at) || position.revision == 0 || !(own < position) || at < peer.avoided_until) {
             continue;
         }
-        if (!best ||
-            std::make_pair(is_in_zone, peer.last.revision) > std::make_pair(best_is_in_zone, best_revision)) {
+        if (!best || std::make_pair(best_is_in_zone, best_position) < std::make_pair(is_in_zone, position)) {
             best = address;
-            best_revision = peer.last.revision;
+            best_position = position;
             best_is_in_zone = is_in_zone;
         }
     }
@@ -329,16 +348,18 @@
     return loads;
 }
 
-auto encode_changes(const directory& known, std::uint64_t after_revision) -> std::string {
-    const auto is_whole = after_revision < known.removals_dropped_up_to || after_revision == 0;
+auto encode_changes(const directory& known, store_position after) -> std::string {
+    const auto is_whole =
+        after.era != known.era || after.revision < known.removals_dropped_up_to || after.revision == 0;
     auto items = json::array();
     for (const auto& [key, item] : known.items) {
-        if ((is_whole && !item.is_removed) || (!is_whole && item.revision > after_revision)) {
+        if ((is_whole && !item.is_removed) || (!is_whole && item.revision > after.revision)) {
             items.push_back(json::array(
                 {key, json::binary({item.value.begin(), item.value.end()}), item.revision, item.is_removed}));
         }
     }
-    const auto message = json::array({known.is_complete ? known.revision : 0, is_whole, std::move(items)});
+    const auto position = store_position{known.era, known.is_complete ? known.revision : 0};
+    const auto message = json::array({encode_position(position), is_whole, std::move(items)});
     auto bytes = std::string();
     json::to_cbor(message, bytes);
     return bytes;
@@ -346,12 +367,12 @@
 
 auto decode_changes(std::string_view bytes) -> result<peer_changes> {
     const auto message = read_cbor(bytes);
-    if (!message.is_array() || message.size() != 3 || !message[0].is_number_unsigned() ||
-        message[0].get<std::uint64_t>() > max_revision || !message[1].is_boolean() ||
-        !message[2].is_array()) {
+    const auto position = message.is_array() && message.size() == 3 ? decode_position(message[0])
+                                                                    : std::optional<store_position>();
+    if (!position || !message[1].is_boolean() || !message[2].is_array()) {
         return malformed();
     }
-    auto changes = peer_changes{message[0].get<std::uint64_t>(), message[1].get<bool>(), {}};
+    auto changes = peer_changes{position->revision, message[1].get<bool>(), {}, position->era};
     for (const auto& part : message[2]) {
         if (!part.is_array() || part.size() != 4 || !part[0].is_string() || !part[1].is_binary() ||
             !part[2].is_number_unsigned() || part[2].get<std::uint64_t>() > max_revision ||
--- a/src/edge/peer_group_base.h
+++ b/src/edge/peer_group_base.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "edge/forwarding_base.h"
+#include "edge/store_era_type.h"
 #include "edge/store_watch_type.h"
 #include "edge/zone_load_func.h"
 
@@ -90,12 +91,13 @@
     std::vector<std::uint32_t> peers;  // addresses of other hosts
     std::vector<peer_load> loads;
     std::optional<zone_report> zones;  // not in every heartbeat
+    std::uint64_t era = 0;             // of `revision`; 0: the store does not tell it
 
     friend auto operator==(const heartbeat& a, const heartbeat& b) -> bool {
         return a.zone == b.zone && a.boot == b.boot && a.uptime_ms == b.uptime_ms &&
                a.revision == b.revision && a.store_age_ms == b.store_age_ms &&
                a.view_age_ms == b.view_age_ms && a.is_leaving == b.is_leaving && a.peers == b.peers &&
-               a.loads == b.loads && a.zones == b.zones;
+               a.loads == b.loads && a.zones == b.zones && a.era == b.era;
     }
 };
 
@@ -167,8 +169,8 @@
 // Returns the interval of load reports of `message_bytes` each to `zone_hosts` hosts.
 auto load_interval_ms(std::size_t zone_hosts, std::size_t message_bytes) -> std::int64_t;
 
-// Returns the live host with the highest revision above `revision`; hosts of the own zone come first.
-auto newest_peer(const peer_group& group, std::uint64_t revision, time_ms at) -> std::optional<std::uint32_t>;
+// Returns the live host with the highest position above `own`; hosts of the own zone come first.
+auto newest_peer(const peer_group& group, store_position own, time_ms at) -> std::optional<std::uint32_t>;
 
 // Requests no changes from a host for peer_avoid_ms, since it sent an older revision than it reported or no
 // answer. Its reported revision may be invalid, and would hide the hosts that have newer changes.
@@ -177,14 +179,19 @@
 // Returns the loads that this host reports.
 auto own_loads(const directory& known) -> std::vector<peer_load>;
 
-// Encodes the changes after a revision for another host; all items if later removals are no longer stored.
-auto encode_changes(const directory& known, std::uint64_t after_revision) -> std::string;
+// Returns the position that a host reports.
+auto position_of(const heartbeat& beat) -> store_position;
+
+// Encodes the changes after a position for another host; all items if later removals are no longer stored, or
+// if the position is of another era.
+auto encode_changes(const directory& known, store_position after) -> std::string;
 
 // Changes received from another host.
 struct peer_changes {
     std::uint64_t revision = 0;
     bool is_whole = false;  // all items: others are removed
     std::vector<store_item> items;
+    std::uint64_t era = 0;
 };
 
 auto decode_changes(std::string_view bytes) -> result<peer_changes>;
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "core/log_func.h"
+#include "edge/store_era_func.h"
 
 namespace agatepost::edge {
 
@@ -18,7 +20,11 @@
 
 store_follower::store_follower(event_loop& loop, directory& known, follower_settings settings,
                                follower_events events, std::minstd_rand& random)
-    : client_(loop), known_(known), settings_(settings), events_(std::move(events)), random_(random) {}
+    : client_(loop, settings.era_header),
+      known_(known),
+      settings_(settings),
+      events_(std::move(events)),
+      random_(random) {}
 
 auto store_follower::enable(bool is_enabled, time_ms at) -> void {
     if (is_enabled == is_enabled_) {
@@ -34,6 +40,16 @@
     }
 }
 
+auto store_follower::restart(time_ms at) -> void {
+    client_.cancel();
+    needs_listing_ = false;
+    list_after_key_.clear();
+    copy_.clear();
+    is_unconfirmed_ = true;
+    complete_at_.reset();  // by answers of the former era
+    next_call_ = at;
+}
+
 auto store_follower::on_timer(time_ms at) -> void {
     client_.on_timer(at);
     if (!is_enabled_ || client_.is_busy() || at < next_call_) {
@@ -84,6 +100,9 @@
         on_failure(answer.error(), at);
         return;
     }
+    if (!is_usable(*answer, is_listing, at)) {
+        return;
+    }
     if (!is_listing && answer->status == status_gone) {
         list_again("the store has discarded the history", at);
         return;
@@ -107,6 +126,42 @@
     }
 }
 
+// Compares the era of an answer with the known one. A higher one starts a new listing, or is that of a
+// listing that begins with this answer. An answer without a readable era counts as of the known one.
+auto store_follower::is_usable(const http_answer& answer, bool is_listing, time_ms at) -> bool {
+    auto values = std::vector<std::string>{};
+    for (const auto& header : answer.headers) {
+        values.push_back(header.value);
+    }
+    const auto read = known_.platform->read_era(values);
+    if (!read) {
+        events_.on_era_invalid(read.error());
+    }
+    store_era_ = std::max(store_era_, known_.era);
+    const auto era = read && *read ? **read : store_era_;
+    const auto begins_listing = is_listing && list_after_key_.empty();
+    if (era < store_era_ && ++older_answers_ < max_older_answers) {
+        const auto fault = error{error_kind::invalid_message,
+                                 absl::StrCat("the store answered in era ", era, ", known is ", store_era_),
+                                 "check the store, and who sends in the name of other hosts"};
+        events_.on_era_invalid(fault);
+        on_failure(fault, at);
+        return false;
+    }
+    older_answers_ = 0;
+    if (begins_listing) {
+        store_era_ = era;
+        list_era_ = era;
+        return true;
+    }
+    if (era != (is_listing ? list_era_ : known_.era)) {
+        store_era_ = era;
+        list_again("the store is in another era", at);
+        return false;
+    }
+    return true;
+}
+
 auto store_follower::apply(const store_page& page, time_ms at) -> void {
     for (const auto& item : page.items) {
         const auto outcome = apply_item(known_, item, at);
@@ -120,22 +175,39 @@
     if (list_after_key_.empty()) {
         list_revision_ = page.revision;
         listed_.clear();
+        copy_.clear();
+        if (!known_.is_complete && known_.era != list_era_) {
+            discard_invalid_revisions(known_, 0);  // items of a listing of another era that broke off
+            known_.era = list_era_;
+        }
     }
-    for (const auto& item : page.items) {
-        listed_[item.key] = true;
+    if (list_era_ == known_.era) {
+        for (const auto& item : page.items) {
+            listed_[item.key] = true;
+        }
+        apply(page, at);
+    } else {
+        copy_.insert(copy_.end(), page.items.begin(), page.items.end());
     }
-    apply(page, at);
     next_call_ = at;
     if (page.has_more && !page.items.empty()) {
         list_after_key_ = page.items.back().key;
         return;
     }
-    // Pages are no snapshot: the watch returns again the changes made while they were read.
-    for (const auto& key : remove_unlisted(known_, listed_, list_revision_, at)) {
-        events_.on_target_gone(key);
+    finish_listing(at);
+}
+
+// Pages are no snapshot: the watch returns again the changes made while they were read.
+auto store_follower::finish_listing(time_ms at) -> void {
+    if (list_era_ == known_.era) {
+        for (const auto& key : remove_unlisted(known_, listed_, list_revision_, at)) {
+            events_.on_target_gone(key);
+        }
+        known_.revision = std::max(known_.revision, list_revision_);
+        known_.is_complete = true;
+    } else {
+        events_.on_era(adopt_era(known_, {list_era_, list_revision_}, std::exchange(copy_, {}), at));
     }
-    known_.revision = std::max(known_.revision, list_revision_);
-    known_.is_complete = true;
     needs_listing_ = false;
     list_after_key_.clear();
     record_complete(list_started_);
--- a/src/edge/store_follower_base.h
+++ b/src/edge/store_follower_base.h
@@ -10,6 +10,7 @@
 
 #include "edge/directory_base.h"
 #include "edge/http_base.h"
+#include "edge/store_era_type.h"
 
 namespace agatepost::edge {
 
@@ -32,14 +33,19 @@
 constexpr std::int64_t relist_pause_ms = 200;
 constexpr std::int64_t relist_pause_limit_ms = 2000;
 
+// An answer of a lower era may be late. After this number in a row the store is in that era: the known one
+// was false.
+constexpr int max_older_answers = 8;
+
 // The store, and the wait of a watch: one without changes is answered after it, and a dead connection is
 // detected shortly after it.
 struct follower_settings {
     endpoint store;
     std::int64_t watch_wait_ms = 0;
+    std::string_view era_header{};  // name of the header that tells the store's era
 
     friend auto operator==(const follower_settings& a, const follower_settings& b) -> bool {
-        return a.store == b.store && a.watch_wait_ms == b.watch_wait_ms;
+        return a.store == b.store && a.watch_wait_ms == b.watch_wait_ms && a.era_header == b.era_header;
     }
 };
 
@@ -53,6 +59,8 @@
     // The directory's revision or completeness changed, or its view is confirmed after a takeover or an
     // outage.
     std::function<void()> on_news;
+    std::function<void(const era_change& change)> on_era;
+    std::function<void(const error& fault)> on_era_invalid;  // an answer has no readable era, or a lower one
 };
 
 // Reads the store over one connection. Makes no call while disabled.
@@ -64,6 +72,9 @@
     // Starts or stops watching.
     auto enable(bool is_enabled, time_ms at) -> void;
 
+    // Starts again from the directory, which has another era by the changes of another host.
+    auto restart(time_ms at) -> void;
+
     // Sends the next call if it is due, and fails a call whose time limit has passed.
     auto on_timer(time_ms at) -> void;
 
@@ -80,6 +91,8 @@
     auto next_deadline() const -> time_ms;
 
 private:
+    auto is_usable(const http_answer& answer, bool is_listing, time_ms at) -> bool;
+    auto finish_listing(time_ms at) -> void;
     auto list_next(time_ms at) -> void;
     auto watch(time_ms at) -> void;
     auto on_list_page(const store_page& page, time_ms at) -> void;
@@ -111,6 +124,10 @@
     std::string list_after_key_;
     std::uint64_t list_revision_ = 0;
     time_ms list_started_;
+    std::uint64_t list_era_ = 0;
+    std::vector<store_item> copy_;  // the items so far, if the era differs from the directory's
+    std::uint64_t store_era_ = 0;   // highest era of the store's answers and of the directory
+    int older_answers_ = 0;         // consecutive answers of a lower era
     // The watch in progress.
     std::uint64_t watch_start_revision_ = 0;
     std::int64_t watch_wait_ms_ = 0;
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -29,11 +29,13 @@
     return timing;
 }
 
-auto record_confirmations(peer_group& group, std::uint64_t revision, time_ms at) -> void {
+auto record_confirmations(peer_group& group, store_position own, time_ms at) -> void {
     auto& confirmed = group.confirmed;
     for (const auto& [address, peer] : group.peers) {
         const auto is_heard = is_alive(peer, at) && !peer.is_report_delayed;
-        if (!is_heard || peer.last.revision == 0 || peer.last.revision > revision) {
+        const auto confirms =
+            peer.last.era == own.era && peer.last.revision != 0 && peer.last.revision <= own.revision;
+        if (!is_heard || !confirms) {
             continue;
         }
         const auto since = peer.heard + -peer.last.store_age_ms;
--- a/src/edge/store_watch_func.h
+++ b/src/edge/store_watch_func.h
@@ -37,9 +37,9 @@
 // Bounds below about 2 s cannot be kept during a takeover.
 auto make_watch_timing(std::int64_t change_bound_ms) -> watch_timing;
 
-// Records the confirmations of a view with this revision (0: no complete listing yet) by the last heartbeats
-// of the other hosts.
-auto record_confirmations(peer_group& group, std::uint64_t revision, time_ms at) -> void;
+// Records the confirmations of a view at this position (revision 0: no complete listing yet) by the last
+// heartbeats of the other hosts. Hosts of another era confirm nothing.
+auto record_confirmations(peer_group& group, store_position own, time_ms at) -> void;
 
 // Returns the milliseconds since the view had all changes of the store, by the own last answer
 // (`own_age_ms`) or by hosts of the zone with a lower address. Reported to other hosts.
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -103,5 +103,7 @@
 COUNTER(edge_zone_loads_full, "one-way path: loads of other zones ignored, the table of loads is full")
 COUNTER(edge_zone_loads_malformed, "one-way path: heartbeats rejected, their zone loads are malformed")
 COUNTER(edge_store_failures, "one-way path: times that the store was lost")
+COUNTER(edge_eras, "one-way path: times that the store came back from an older copy")
+COUNTER(edge_era_invalid, "one-way path: answers of the store without a valid era, or with a lower one")
 COUNTER(edge_zone_overflow, "one-way path: opening packets sent to another zone because the own one lacks capacity")
 COUNTER(edge_log_lines_dropped, "log lines dropped because standard output was full")
--- a/src/table/log_events.h
+++ b/src/table/log_events.h
@@ -47,6 +47,8 @@
 LOG_EVENT(625, item_unreadable, warning, "an item of the store cannot be read")
 LOG_EVENT(627, revision_false, warning, "another host reported a revision that the store never had; everything is listed again")
 LOG_EVENT(633, store_listed_again, info, "a watch of the store cannot go on; all items are listed again")
+LOG_EVENT(636, store_era_changed, warning, "the store came back from an older copy; what was known is merged with it")
+LOG_EVENT(637, store_era_invalid, warning, "an answer of the store has no valid era, or a lower one; at most one line a minute")
 LOG_EVENT(628, handler_failed, error, "an unexpected error ended the handling of one event; the host continues")
 LOG_EVENT(629, targets_out_of_reach, warning, "no target answers through this host; the host leaves the rotation temporarily")
 LOG_EVENT(630, targets_in_reach, info, "the host accepts flows again after it reached no target")
