--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -27,6 +27,11 @@
 constexpr std::int64_t restart_ms = 400;         // delay until the platform restarts an ended process
 constexpr std::int64_t stop_limit_ms = 6000;
 constexpr double min_served_share = 0.99;  // of the requests in calm time
+constexpr std::uint64_t max_lost_writes = 80;
+
+// Calls to the store that each host may make, if it watches: a second, and in the second after a return.
+constexpr std::uint64_t max_calls_per_s = 2;
+constexpr std::uint64_t max_calls_after_return = 10;
 
 // A host process with its proxy and pending actions.
 struct soak_host {
@@ -52,6 +57,8 @@
           seed_(options["seed"].as<std::uint64_t>()),
           binary_(std::filesystem::absolute(options["binary"].as<std::string>())),
           random_(seed_),
+          returns_random_(seed_ + 1),
+          has_returns_(options["returns"].as<bool>()),
           store_(loop),
           world_(loop, store_, net, seed_) {
         folder_ = std::filesystem::temp_directory_path() / absl::StrCat("soak-", getpid());
@@ -67,6 +74,7 @@
     auto start(soak_host& host) -> void;
     auto inject_fault() -> void;
     auto apply_change() -> void;
+    auto return_store(time_ms at) -> void;
     auto inject_host_fault(soak_host& host) -> void;
     auto update_host(soak_host& host, time_ms at) -> void;
     auto report(std::int64_t length_ms) -> int;
@@ -80,6 +88,11 @@
     std::string binary_;
     std::filesystem::path folder_;
     std::mt19937_64 random_;
+    std::mt19937_64 returns_random_;  // of its own, so that runs without returns keep their faults
+    bool has_returns_ = false;
+    time_ms next_copy_;
+    time_ms next_return_;
+    int returns_ = 0;
     platform_store store_;
     world world_;
     std::vector<soak_host> hosts_;
@@ -252,12 +265,41 @@
     host.store_proxy->on_timer(at);
 }
 
+// Takes copies of the store, and sends it back to the last one. This disturbs no host: all checks go on.
+auto soak_run::return_store(time_ms at) -> void {
+    const auto after = [&](std::int64_t least, std::int64_t most) {
+        return at + least +
+               static_cast<std::int64_t>(returns_random_() % static_cast<std::uint64_t>(most - least));
+    };
+    if (at >= next_copy_) {
+        next_copy_ = after(500, 4000);
+        store_.take_copy();
+        // Lost writes of somebody else: what is written again gets lower revisions than were known.
+        for (auto writes = returns_random_() % max_lost_writes; writes > 0; --writes) {
+            store_.write("other/item", "");
+        }
+    }
+    if (next_return_ == time_ms{}) {
+        next_return_ = after(startup_grace_ms, 2 * startup_grace_ms);
+    }
+    if (at >= next_return_) {
+        // Every fourth return is followed by another one at once.
+        next_return_ = returns_random_() % 4 == 0 ? after(50, 800) : after(2500, 8000);
+        ++returns_;
+        store_.return_to_copy();
+        world_.rewrite_lost_items();
+    }
+}
+
 auto soak_run::run(std::int64_t length_ms) -> int {
     const auto opened = open();
     if (!opened) {
         std::cerr << to_text(opened.error()) << "\n";
         return 1;
     }
+    if (has_returns_) {
+        store_.tell_era();
+    }
     for (auto& host : hosts_) {
         start(host);
     }
@@ -284,6 +326,9 @@
         for (auto& host : hosts_) {
             update_host(host, at);
         }
+        if (has_returns_ && at - begin < length_ms - recovery_ms) {
+            return_store(at);
+        }
         store_.on_timer(at);
         world_.on_timer(at);
         loop_.wait(boot_now() + 2);
@@ -303,6 +348,12 @@
     if (results.served == 0) {
         results.violations.push_back("RECOVER: no request was served");
     }
+    const auto max_calls = hosts_.size() * (max_calls_per_s * static_cast<std::uint64_t>(length_ms / 1000) +
+                                            max_calls_after_return * static_cast<std::uint64_t>(returns_));
+    if (has_returns_ && store_.calls() > max_calls) {
+        results.violations.push_back(
+            absl::StrCat("CALLS: ", store_.calls(), " calls to the store, allowed are ", max_calls));
+    }
     for (const auto& what : results.violations) {
         std::cout << "broken: " << what << "\n";
     }
@@ -310,6 +361,7 @@
                                      {"seconds", length_ms / 1000},
                                      {"faults", faults_},
                                      {"changes", changes_},
+                                     {"returns", returns_},
                                      {"asked", results.asked},
                                      {"served", results.served},
                                      {"asked_calm", results.asked_calm},
@@ -335,6 +387,7 @@
     add("minutes", "length of the run", cxxopts::value<double>()->default_value("0.5"));
     add("hosts", "host processes, in two zones", cxxopts::value<std::size_t>()->default_value("4"));
     add("binary", "the agatepost binary", cxxopts::value<std::string>()->default_value("build/agatepost"));
+    add("returns", "the store comes back from older copies");
     add("json", "accepted for scripts; the last line is JSON in any case");
     add("help", "prints this text");
     try {
--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -66,6 +66,18 @@
     }
 }
 
+auto platform_store::take_copy() -> void {
+    copied_items_ = items_;
+    copied_revision_ = revision_;
+}
+
+auto platform_store::return_to_copy() -> void {
+    items_ = copied_items_;
+    revision_ = copied_revision_;
+    history_.clear();
+    ++era_;
+}
+
 auto platform_store::on_ready(int fd) -> void {
     auto& from = connections_.at(fd);
     auto bytes = std::array<char, 4096>{};
@@ -111,8 +123,8 @@
 }
 
 auto platform_store::answer_watch(http_connection& from) -> bool {
-    const auto is_known =
-        from.after == revision_ || (!history_.empty() && history_.front().revision <= from.after + 1);
+    const auto is_known = from.after == revision_ || (from.after < revision_ && !history_.empty() &&
+                                                      history_.front().revision <= from.after + 1);
     if (!is_known) {
         reply(from, 410, {});
         return true;
@@ -132,7 +144,8 @@
 
 auto platform_store::reply(http_connection& to, unsigned status, const std::string& body) -> void {
     const auto text =
-        absl::StrCat("HTTP/1.1 ", status, " X\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+        absl::StrCat("HTTP/1.1 ", status, " X\r\nContent-Length: ", body.size(), "\r\n",
+                     tells_era_ ? absl::StrCat("Store-Era: ", era_, "\r\n") : std::string(), "\r\n", body);
     if (mode_ == store_mode::slow) {
         to.delayed = text;
         to.due = boot_now() + slow_answer_delay_ms;
--- a/soak/store_base.h
+++ b/soak/store_base.h
@@ -33,6 +33,16 @@
     auto write(const std::string& key, const std::string& value) -> void;
     auto remove(const std::string& key) -> void;
 
+    auto has(const std::string& key) const -> bool { return items_.count(key) != 0; }
+
+    // Tells the era in all answers from now on.
+    auto tell_era() -> void { tells_era_ = true; }
+
+    // Keeps the present content, and goes back to it: later writes are lost, their revisions are given out
+    // again, and the era rises.
+    auto take_copy() -> void;
+    auto return_to_copy() -> void;
+
     // Discards the history of changes, so that watches of older revisions get status 410.
     auto discard_history() -> void { history_.clear(); }
 
@@ -71,6 +81,10 @@
     std::map<std::string, change> items_;
     std::deque<change> history_;
     std::uint64_t revision_ = 1;
+    std::map<std::string, change> copied_items_;
+    std::uint64_t copied_revision_ = 1;
+    std::uint64_t era_ = 1;
+    bool tells_era_ = false;
     std::uint64_t calls_ = 0;
     store_mode mode_ = store_mode::normal;
 };
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -185,6 +185,7 @@
     }
     one->socket = std::move(*opened);
     one->changed = boot_now();
+    one->started = one->changed;
     targets_.push_back(std::move(one));
     register_target(*targets_.back());
 }
@@ -198,12 +199,48 @@
                                       {"slots", 4},
                                       {"state", one.is_draining ? "draining" : "ready"},
                                       {"cold-remaining-ms", 0},
-                                      {"born", one.changed.value}};
+                                      {"born", one.started.value}};
     one.registered = boot_now();
     store_.write("servers/" + one.id, value.dump());
 }
 
 auto world::change_routes(bool with_extra) -> void {
+    has_extra_ = with_extra;
+    routes_changed_ = boot_now();
+    ++version_;
+    write_routes();
+}
+
+auto world::rewrite_lost_items() -> void {
+    const auto at = boot_now();
+    const auto next_report = [&] { return at + static_cast<std::int64_t>(random_() % heartbeat_ms); };
+    for (auto& one : targets_) {
+        if (one->is_alive) {
+            one->rewrite_at = next_report();
+        } else if (store_.has("servers/" + one->id)) {
+            one->registered = at;  // runs out after three heartbeats
+        }
+    }
+    rewrite_routes_at_ = next_report();
+}
+
+auto world::write_due_items(time_ms at) -> void {
+    const auto is_due = [at](time_ms& when) {
+        const auto due = when != time_ms{} && at >= when;
+        when = due ? time_ms{} : when;
+        return due;
+    };
+    for (auto& one : targets_) {
+        if (is_due(one->rewrite_at) && one->is_alive) {
+            register_target(*one);
+        }
+    }
+    if (is_due(rewrite_routes_at_)) {
+        write_routes();
+    }
+}
+
+auto world::write_routes() -> void {
     auto routes = nlohmann::json::array();
     const auto add = [&](std::uint16_t port, const char* kind) {
         routes.push_back({{"name", absl::StrCat("r-", port)},
@@ -214,13 +251,11 @@
     };
     add(feed_port, "idempotent");
     add(filing_port, "non_idempotent");
-    if (with_extra) {
+    if (has_extra_) {
         add(extra_port, "idempotent");
     }
-    has_extra_ = with_extra;
-    routes_changed_ = boot_now();
     const auto value =
-        nlohmann::json{{"version", ++version_}, {"routes", routes}, {"limits", {{"idle-timeout-ms", 15000}}}};
+        nlohmann::json{{"version", version_}, {"routes", routes}, {"limits", {{"idle-timeout-ms", 15000}}}};
     store_.write("op/config", value.dump());
 }
 
@@ -252,6 +287,7 @@
     if (index != targets_.size()) {
         targets_[index]->connections.clear();
         targets_[index]->changed = boot_now();
+        targets_[index]->started = targets_[index]->changed;
         register_target(*targets_[index]);
     }
 }
@@ -407,6 +443,7 @@
 
 auto world::on_timer(time_ms at) -> void {
     check_hosts(at);
+    write_due_items(at);
     if (at >= next_arrival_) {
         next_arrival_ = at + arrival_interval_ms;
         const auto client = random_() % clients_.size();
--- a/soak/world_base.h
+++ b/soak/world_base.h
@@ -57,6 +57,8 @@
     time_ms registered;  // last registration or renewal
     time_ms drained;
     time_ms changed;  // last start, end or drain; checks begin recovery_limit_ms later
+    time_ms started;
+    time_ms rewrite_at;  // next status report after the store came back from a copy
     struct connection {
         std::uint32_t client_end = 0;  // end of the client's data
         std::uint32_t sent = 0;        // bytes sent so far
@@ -129,6 +131,10 @@
     auto drain_target() -> void;
     auto change_routes(bool with_extra) -> void;
 
+    // The store came back from a copy: targets and operators write again what is not in it, within a
+    // heartbeat.
+    auto rewrite_lost_items() -> void;
+
     auto on_timer(time_ms at) -> void;
     auto results() -> run_results& { return results_; }
     auto disturbed() const -> time_ms { return disturbed_; }
@@ -151,6 +157,8 @@
     auto reply(const target& from, const wire_packet& to, std::uint8_t flags, const std::string& data,
                std::uint32_t seq) -> void;
     auto register_target(target& one) -> void;
+    auto write_routes() -> void;
+    auto write_due_items(time_ms at) -> void;
     auto pick_target() -> std::size_t;
     auto check_reset(const client_flow& flow, std::uint32_t host, time_ms at) -> void;
     auto check_syn(const target& at_target, const wire_packet& packet, std::uint32_t host, time_ms at)
@@ -173,6 +181,7 @@
     run_results results_;
     time_ms disturbed_;
     time_ms routes_changed_;
+    time_ms rewrite_routes_at_;
     bool has_extra_ = false;
     int version_ = 0;
     std::uint16_t next_port_ = 1024;
