Fix: [edge] A listing of a new era holds no values that hosts do not use, and decodes each item once

What can be seen: 40 values of 1 MB of another writer beside a return of the store took 52,588 kB at the watching host; the smallest machines have 56 MB. Cause: frees values that hosts do not use where an item is applied. The listing of a new era keeps its items until it is complete, before that place, with all their values. Beside it, each item was decoded twice, once to decide and once to apply it, and apply_item had to be told by a revision of 0 not to compare revisions. Change: decode_item() decodes an item once and drops a value that hosts do not use; replace_item() applies it without a comparison; apply_item() is both. The listing holds decoded items. The function that keeps a cold start moves from the directory's interface to store_era.cpp; it goes by the target's name, so a second return in a row keeps the cold start too. position_of() stands with the directory, and encode_changes() uses it.

--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -243,12 +243,6 @@
     }
 }
 
-// Frees the value. Other writers' values may be large and many, and clearing a string keeps its memory.
-auto discard_value(known_item& item) -> void {
-    item.value.clear();
-    item.value.shrink_to_fit();
-}
-
 // Drops the older half of the removals if there are more than `max_removals_kept`.
 auto limit_removals(directory& known) -> void {
     auto revisions = std::vector<std::uint64_t>{};
@@ -270,13 +264,29 @@
 
 }  // namespace
 
-auto apply_item(directory& known, const store_item& item, time_ms at) -> item_outcome {
-    auto& stored = known.items[item.key];
-    if (stored.revision >= item.revision) {
-        return {};
+auto position_of(const directory& known) -> store_position {
+    return {known.era, known.is_complete ? known.revision : 0};
+}
+
+auto decode_item(const platform_plugin& platform, const store_item& item) -> decoded_item {
+    auto decoded = decoded_item{{item.key, {}, item.revision, item.is_removed}, item_meaning()};
+    if (!item.is_removed) {
+        decoded.meaning = platform.read_item(item.key, item.value);
     }
+    const auto& meaning = decoded.meaning;
+    if (meaning &&
+        (std::holds_alternative<target_entry>(*meaning) || std::holds_alternative<route_table>(*meaning))) {
+        decoded.item.value = item.value;
+    }
+    return decoded;
+}
+
+auto replace_item(directory& known, decoded_item&& decoded, time_ms at) -> item_outcome {
+    auto& [item, meaning] = decoded;
     known.unsettled_evacuations.erase(item.key);
-    const auto previous = std::exchange(stored, {item.value, item.revision, item.is_removed, {}, false, {}});
+    auto& stored = known.items[item.key];
+    const auto previous =
+        std::exchange(stored, {std::move(item.value), item.revision, item.is_removed, {}, false, {}});
     if (item.is_removed) {
         auto change = end_evacuation(known, item.key, previous);
         if (change == directory_change::none) {
@@ -285,10 +295,8 @@
         limit_removals(known);
         return {change, std::nullopt};
     }
-    auto meaning = known.platform->read_item(item.key, item.value);
     if (!meaning) {
         stored.is_unreadable = true;
-        discard_value(stored);  // unreadable at other hosts as well
         apply_unreadable(known, previous.target, at);
         return {directory_change::unreadable,
                 previous.is_unreadable ? std::nullopt : std::optional<error>(meaning.error())};
@@ -300,29 +308,17 @@
     if (auto* table = std::get_if<route_table>(&*meaning)) {
         return {apply_routes(known, std::move(*table)), std::nullopt};
     }
-    discard_value(stored);  // not used by other hosts either
     if (const auto* evacuation = std::get_if<zone_evacuation>(&*meaning)) {
         return {start_evacuation(known, stored, *evacuation), std::nullopt};
     }
     return {};
 }
 
-auto apply_registered_again(directory& known, const store_item& item, time_ms at) -> item_outcome {
-    const auto stored = known.items.find(item.key);
-    const auto found =
-        stored == known.items.end() ? known.by_name.end() : known.by_name.find(stored->second.target);
-    if (found == known.by_name.end()) {
-        return apply_item(known, item, at);
-    }
-    const auto index = found->second;
-    const auto started_ms = known.targets[index].entry.started_ms;
-    const auto cold_until = known.targets[index].cold_until;
-    auto outcome = apply_item(known, item, at);
-    auto& record = known.targets[index];
-    if (record.entry.started_ms == started_ms) {
-        record.cold_until = cold_until;
+auto apply_item(directory& known, const store_item& item, time_ms at) -> item_outcome {
+    if (known.items[item.key].revision >= item.revision) {
+        return {};
     }
-    return outcome;
+    return replace_item(known, decode_item(*known.platform, item), at);
 }
 
 auto remove_unlisted(directory& known, const absl::flat_hash_map<std::string, bool>& listed,
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -13,6 +13,7 @@
 #include "edge/cold_start_type.h"
 #include "edge/edge_platform_base.h"
 #include "edge/edge_type.h"
+#include "edge/store_era_type.h"
 
 namespace agatepost::edge {
 
@@ -115,6 +116,17 @@
     std::string evacuated_zone;  // zone whose evacuation it requests, or did before its removal; empty: none
 };
 
+// An item with its decoded value. Its raw value is empty if hosts do not use it: other writers' values may be
+// large and many.
+struct decoded_item {
+    store_item item;
+    result<item_meaning> meaning;
+
+    friend auto operator==(const decoded_item& a, const decoded_item& b) -> bool {
+        return a.item == b.item && a.meaning == b.meaning;
+    }
+};
+
 // The change that an item made, for the log.
 enum class directory_change {
     none,            // the item is not newer than the known one, or of no use to a host
@@ -179,14 +191,18 @@
     return (static_cast<std::uint64_t>(address) << 16U) | port;
 }
 
+// Returns the position up to which all changes are known; revision 0 without a complete listing.
+auto position_of(const directory& known) -> store_position;
+
+auto decode_item(const platform_plugin& platform, const store_item& item) -> decoded_item;
+
+// Applies an item in place of the known one, whichever is newer.
+auto replace_item(directory& known, decoded_item&& decoded, time_ms at) -> item_outcome;
+
 // Applies an item if it is newer than the known one. An unreadable registration removes the target that its
 // key registered before, and no other; an unreadable configuration leaves the previous one in use.
 auto apply_item(directory& known, const store_item& item, time_ms at) -> item_outcome;
 
-// Applies an item that the store has again after it came back from an older copy, as apply_item does. The
-// cold start of an instance that is known already goes on.
-auto apply_registered_again(directory& known, const store_item& item, time_ms at) -> item_outcome;
-
 // Removes the items that a complete listing lacks, except those newer than its first page. Returns their
 // keys.
 auto remove_unlisted(directory& known, const absl::flat_hash_map<std::string, bool>& listed,
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -784,7 +784,11 @@
     const auto is_other_era = state_.known.is_complete && changes.era != state_.known.era;
     if (is_other_era) {
         if (changes.era > state_.known.era && changes.is_whole) {
-            log_era(adopt_era(state_.known, {changes.era, changes.revision}, changes.items, at), "host");
+            auto copy = std::vector<decoded_item>{};
+            for (const auto& item : changes.items) {
+                copy.push_back(decode_item(platform_, item));
+            }
+            log_era(adopt_era(state_.known, {changes.era, changes.revision}, std::move(copy), at), "host");
             follower_.restart(at);
         }
         return;
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -358,8 +358,7 @@
                 {key, json::binary({item.value.begin(), item.value.end()}), item.revision, item.is_removed}));
         }
     }
-    const auto position = store_position{known.era, known.is_complete ? known.revision : 0};
-    const auto message = json::array({encode_position(position), is_whole, std::move(items)});
+    const auto message = json::array({encode_position(position_of(known)), is_whole, std::move(items)});
     auto bytes = std::string();
     json::to_cbor(message, bytes);
     return bytes;
--- a/src/edge/store_era.cpp
+++ b/src/edge/store_era.cpp
@@ -70,27 +70,48 @@
     return std::holds_alternative<zone_evacuation>(meaning) ? &change.evacuations : nullptr;
 }
 
+// Uses an item of the copy. The cold start of an instance that is known already goes on.
+auto use_copy(directory& known, decoded_item&& copied, time_ms at) -> void {
+    const auto* entry = copied.meaning ? std::get_if<target_entry>(&*copied.meaning) : nullptr;
+    const auto found = entry == nullptr ? known.by_name.end() : known.by_name.find(entry->name);
+    if (found == known.by_name.end()) {
+        replace_item(known, std::move(copied), at);
+        return;
+    }
+    const auto index = found->second;
+    const auto started_ms = known.targets[index].entry.started_ms;
+    const auto cold_until = known.targets[index].cold_until;
+    replace_item(known, std::move(copied), at);
+    auto& record = known.targets[index];
+    if (record.entry.started_ms == started_ms) {
+        record.cold_until = cold_until;
+    }
+}
+
+// Treats an item as removed at a revision of the new era.
+auto use_removal(directory& known, const std::string& key, std::uint64_t revision, time_ms at) -> void {
+    replace_item(known, decode_item(*known.platform, {key, "", revision, true}), at);
+}
+
 // Applies one item of the copy.
-auto adopt_item(directory& known, const store_item& item, era_change& change, time_ms at) -> void {
-    const auto meaning = known.platform->read_item(item.key, item.value);
-    const auto choice = meaning ? choose(known, item, *meaning) : era_choice::copy;
-    auto* counts = meaning ? counts_of(change, *meaning) : nullptr;
+auto adopt_item(directory& known, decoded_item&& copied, era_change& change, time_ms at) -> void {
+    const auto& item = copied.item;
+    const auto choice = copied.meaning ? choose(known, item, *copied.meaning) : era_choice::copy;
+    auto* counts = copied.meaning ? counts_of(change, *copied.meaning) : nullptr;
     if (counts != nullptr) {
         (choice == era_choice::copy ? counts->replaced : counts->kept) += 1;
     }
-    auto& stored = known.items[item.key];
-    stored.revision = 0;
     if (choice == era_choice::copy) {
-        apply_registered_again(known, item, at);
+        use_copy(known, std::move(copied), at);
         return;
     }
     if (choice == era_choice::known) {
-        stored.revision = item.revision;
+        known.items[item.key].revision = item.revision;
         return;
     }
-    const auto kept_zone = stored.evacuated_zone;
-    apply_item(known, {item.key, "", item.revision, true}, at);
-    if (const auto* evacuation = std::get_if<zone_evacuation>(&*meaning)) {
+    const auto kept_zone = known.items[item.key].evacuated_zone;
+    use_removal(known, item.key, item.revision, at);
+    if (const auto* evacuation = std::get_if<zone_evacuation>(&*copied.meaning)) {
         known.items[item.key].evacuated_zone = kept_zone;
         known.unsettled_evacuations[item.key] = {evacuation->zone, true};
     }
@@ -105,8 +126,7 @@
     }
     if (!stored.target.empty()) {
         ++change.targets.dropped;
-        stored.revision = 0;
-        apply_item(known, {key, "", change.to.revision, true}, at);
+        use_removal(known, key, change.to.revision, at);
         return;
     }
     stored.revision = change.to.revision;
@@ -123,11 +143,7 @@
 
 }  // namespace
 
-auto position_of(const directory& known) -> store_position {
-    return {known.era, known.is_complete ? known.revision : 0};
-}
-
-auto adopt_era(directory& known, store_position to, const std::vector<store_item>& copy, time_ms at)
+auto adopt_era(directory& known, store_position to, std::vector<decoded_item>&& copy, time_ms at)
     -> era_change {
     auto change = era_change{};
     change.from = position_of(known);
@@ -136,9 +152,9 @@
     known.era_grace_until = at + lapse_grace_ms;
     known.unsettled_evacuations.clear();
     auto listed = absl::flat_hash_set<std::string>{};
-    for (const auto& item : copy) {
-        listed.insert(item.key);
-        adopt_item(known, item, change, at);
+    for (auto& copied : copy) {
+        listed.insert(copied.item.key);
+        adopt_item(known, std::move(copied), change, at);
     }
     auto unlisted = std::vector<std::string>{};
     for (const auto& [key, item] : known.items) {
@@ -162,9 +178,8 @@
         return changed;
     }
     for (const auto& [key, unsettled] : std::exchange(known.unsettled_evacuations, {})) {
-        const auto revision = known.items[key].revision;
-        known.items[key].revision = 0;
-        const auto outcome = apply_item(known, {key, "", revision, !unsettled.is_in_store}, at);
+        const auto item = store_item{key, "", known.items[key].revision, !unsettled.is_in_store};
+        const auto outcome = replace_item(known, decode_item(*known.platform, item), at);
         if (outcome.change != directory_change::none) {
             changed.push_back(unsettled.zone);
         }
--- a/src/edge/store_era_func.h
+++ b/src/edge/store_era_func.h
@@ -10,13 +10,10 @@
 
 namespace agatepost::edge {
 
-// Returns the position up to which all changes are known; revision 0 without a complete listing.
-auto position_of(const directory& known) -> store_position;
-
 // Replaces what is known by a complete listing of another era, in one step. What the operators and the
 // targets wrote after the copy was taken is written again, so it stays in use until then, for the grace
 // period at most.
-auto adopt_era(directory& known, store_position to, const std::vector<store_item>& copy, time_ms at)
+auto adopt_era(directory& known, store_position to, std::vector<decoded_item>&& copy, time_ms at)
     -> era_change;
 
 // Follows the store in the evacuations that nobody has written again within the grace period. Returns the
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -187,7 +187,9 @@
         }
         apply(page, at);
     } else {
-        copy_.insert(copy_.end(), page.items.begin(), page.items.end());
+        for (const auto& item : page.items) {
+            copy_.push_back(decode_item(*known_.platform, item));
+        }
     }
     next_call_ = at;
     if (page.has_more && !page.items.empty()) {
--- a/src/edge/store_follower_base.h
+++ b/src/edge/store_follower_base.h
@@ -125,9 +125,9 @@
     std::uint64_t list_revision_ = 0;
     time_ms list_started_;
     std::uint64_t list_era_ = 0;
-    std::vector<store_item> copy_;  // the items so far, if the era differs from the directory's
-    std::uint64_t store_era_ = 0;   // highest era of the store's answers and of the directory
-    int older_answers_ = 0;         // consecutive answers of a lower era
+    std::vector<decoded_item> copy_;  // the items so far, if the era differs from the directory's
+    std::uint64_t store_era_ = 0;     // highest era of the store's answers and of the directory
+    int older_answers_ = 0;           // consecutive answers of a lower era
     // The watch in progress.
     std::uint64_t watch_start_revision_ = 0;
     std::int64_t watch_wait_ms_ = 0;
