Codechange: [soak] One function for planned times and one for random spans

Cause: returns of the store brought a second copy of the test for a planned time, and a second way to draw a span. Change: take_due() serves hosts and targets; random_between() takes the random sequence.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -78,8 +78,12 @@
     auto inject_host_fault(soak_host& host) -> void;
     auto update_host(soak_host& host, time_ms at) -> void;
     auto report(std::int64_t length_ms) -> int;
+    static auto random_between(std::int64_t least, std::int64_t most, std::mt19937_64& random)
+        -> std::int64_t {
+        return least + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(most - least + 1));
+    }
     auto random_between(std::int64_t least, std::int64_t most) -> std::int64_t {
-        return least + static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(most - least + 1));
+        return random_between(least, most, random_);
     }
 
     edge::event_loop& loop_;
@@ -231,21 +235,16 @@
 
 // Ends faults whose time is over, and restarts the process if it has ended.
 auto soak_run::update_host(soak_host& host, time_ms at) -> void {
-    const auto is_due = [at](time_ms& when) {
-        const auto due = when != time_ms{} && at >= when;
-        when = due ? time_ms{} : when;
-        return due;
-    };
-    if (is_due(host.resume_at)) {
+    if (take_due(host.resume_at, at)) {
         host.is_paused = false;
         host.process->signal(SIGCONT);
         world_.record_disturbance(host.address);
     }
-    if (is_due(host.proxy_recovers_at)) {
+    if (take_due(host.proxy_recovers_at, at)) {
         host.store_proxy->set_mode(proxy_mode::pass);
         world_.record_disturbance(host.address);
     }
-    if (is_due(host.kill_at) && host.process->is_running() && host.may_exit) {
+    if (take_due(host.kill_at, at) && host.process->is_running() && host.may_exit) {
         world_.results().violations.push_back("STOP: a graceful stop took longer than the limit");
         host.process->signal(SIGKILL);
     }
@@ -258,7 +257,7 @@
         host.restart_at = at + restart_ms;
         world_.record_disturbance(host.address);
     }
-    if (is_due(host.restart_at)) {
+    if (take_due(host.restart_at, at)) {
         start(host);
         world_.record_disturbance(host.address);
     }
@@ -267,12 +266,8 @@
 
 // Takes copies of the store, and sends it back to the last one. This disturbs no host: all checks go on.
 auto soak_run::return_store(time_ms at) -> void {
-    const auto after = [&](std::int64_t least, std::int64_t most) {
-        return at + least +
-               static_cast<std::int64_t>(returns_random_() % static_cast<std::uint64_t>(most - least));
-    };
     if (at >= next_copy_) {
-        next_copy_ = after(500, 4000);
+        next_copy_ = at + random_between(500, 4000, returns_random_);
         store_.take_copy();
         // Lost writes of somebody else: what is written again gets lower revisions than were known.
         for (auto writes = returns_random_() % max_lost_writes; writes > 0; --writes) {
@@ -280,11 +275,13 @@
         }
     }
     if (next_return_ == time_ms{}) {
-        next_return_ = after(startup_grace_ms, 2 * startup_grace_ms);
+        next_return_ = at + random_between(startup_grace_ms, 2 * startup_grace_ms, returns_random_);
     }
     if (at >= next_return_) {
         // Every fourth return is followed by another one at once.
-        next_return_ = returns_random_() % 4 == 0 ? after(50, 800) : after(2500, 8000);
+        const auto is_followed = returns_random_() % 4 == 0;
+        next_return_ = at + (is_followed ? random_between(50, 800, returns_random_)
+                                         : random_between(2500, 8000, returns_random_));
         ++returns_;
         store_.return_to_copy();
         world_.rewrite_lost_items();
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -225,17 +225,12 @@
 }
 
 auto world::write_due_items(time_ms at) -> void {
-    const auto is_due = [at](time_ms& when) {
-        const auto due = when != time_ms{} && at >= when;
-        when = due ? time_ms{} : when;
-        return due;
-    };
     for (auto& one : targets_) {
-        if (is_due(one->rewrite_at) && one->is_alive) {
+        if (take_due(one->rewrite_at, at) && one->is_alive) {
             register_target(*one);
         }
     }
-    if (is_due(rewrite_routes_at_)) {
+    if (take_due(rewrite_routes_at_, at)) {
         write_routes();
     }
 }
--- a/soak/world_base.h
+++ b/soak/world_base.h
@@ -30,6 +30,13 @@
 constexpr std::int64_t drain_limit_ms = 3000;
 constexpr std::int64_t config_limit_ms = 3000;
 
+// Returns whether a planned time has come, and clears it then.
+inline auto take_due(time_ms& when, time_ms at) -> bool {
+    const auto is_due = when != time_ms{} && at >= when;
+    when = is_due ? time_ms{} : when;
+    return is_due;
+}
+
 // A packet as a client or target writes it. The checksum covers everything except the carrier and so detects
 // changes on the path.
 struct wire_packet {
