Codechange: [edge] Requests for changes are encoded beside their answers, with a test

Cause: the request with its era was written and parsed in the host, which has no tests of its own. Change: encode_changes_request() and decode_changes_request() stand in peer_group.cpp. A request with an empty era or two eras, which no host sends, is answered with 404. The answers of the host's pages need no empty list of headers.

--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -1,11 +1,7 @@
 #include "edge/edge_host_base.h"
 
-#include <absl/strings/match.h>
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
-#include <absl/strings/str_split.h>
-#include <absl/strings/strip.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -75,8 +71,6 @@
 // Maximum number of packet batches handled before other sockets and timers.
 constexpr auto batches_per_event = 4;
 
-constexpr std::string_view sync_path = "/changes?after=";
-constexpr std::string_view sync_era = "&era=";  // follows unless the era is 0, which earlier builds imply
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -98,29 +92,6 @@
     return address;
 }
 
-// Returns the path and query of a read of the changes after a position from another host.
-auto sync_target(store_position after) -> std::string {
-    auto target = absl::StrCat(std::string(sync_path), after.revision);
-    if (after.era != 0) {
-        absl::StrAppend(&target, std::string(sync_era), after.era);
-    }
-    return target;
-}
-
-// Reads what sync_target returns; empty for anything else.
-auto read_sync_target(std::string_view target) -> std::optional<store_position> {
-    auto rest = absl::string_view(target.data(), target.size());
-    if (!absl::ConsumePrefix(&rest, absl::string_view(sync_path.data(), sync_path.size()))) {
-        return std::nullopt;
-    }
-    const std::pair<absl::string_view, absl::string_view> parts =
-        absl::StrSplit(rest, absl::MaxSplits(absl::string_view(sync_era.data(), sync_era.size()), 1));
-    auto after = store_position{};
-    const auto is_valid = absl::SimpleAtoi(parts.first, &after.revision) &&
-                          (parts.second.empty() || absl::SimpleAtoi(parts.second, &after.era));
-    return is_valid ? std::optional<store_position>(after) : std::nullopt;
-}
-
 auto install_signal_handlers() -> void {
     std::signal(SIGTERM, [](int) { stop_requested = 1; });
     std::signal(SIGINT, [](int) { stop_requested = 1; });
@@ -747,7 +718,7 @@
     }
     const auto server = endpoint{to_address(*peer), settings_.sync_address.port};
     const auto reported = position_of(group_.peers.at(*peer).last);
-    sync_client_.call(server, sync_target(own), at + sync_timeout_ms,
+    sync_client_.call(server, encode_changes_request(own), at + sync_timeout_ms,
                       [this, peer = *peer, reported](const result<http_answer>& answer) {
                           apply_changes(peer, reported, answer);
                       });
@@ -1008,22 +979,22 @@
 
 auto edge_host::answer_ready(std::string_view target) -> http_answer {
     if (!platform_.is_ready_check(target)) {
-        return {status_not_found, {}, {}};
+        return {status_not_found, {}};
     }
-    return {is_ready() ? status_ok : status_unavailable, {}, {}};
+    return {is_ready() ? status_ok : status_unavailable, {}};
 }
 
 auto edge_host::answer_sync(std::string_view target) -> http_answer {
-    const auto after = read_sync_target(target);
-    return after ? http_answer{status_ok, encode_changes(state_.known, *after), {}}
-                 : http_answer{status_not_found, {}, {}};
+    const auto after = decode_changes_request(target);
+    return after ? http_answer{status_ok, encode_changes(state_.known, *after)}
+                 : http_answer{status_not_found, {}};
 }
 
 auto edge_host::answer_metrics(std::string_view target) -> http_answer {
     if (target != "/metrics") {
-        return {status_not_found, {}, {}};
+        return {status_not_found, {}};
     }
-    return {status_ok, render_metrics() + render_overflow_shares(state_.overflow), {}};
+    return {status_ok, render_metrics() + render_overflow_shares(state_.overflow)};
 }
 
 }  // namespace
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -1,5 +1,10 @@
 #include "edge/peer_group_base.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -14,6 +19,9 @@
 
 using nlohmann::json;
 
+constexpr std::string_view changes_path = "/changes?after=";
+constexpr std::string_view changes_era = "&era=";  // absent for era 0, as in requests of earlier builds
+
 constexpr std::uint64_t max_age_ms = 1ULL << 48U;
 
 auto malformed() -> tl::unexpected<error> {
@@ -348,6 +356,26 @@
     return loads;
 }
 
+auto encode_changes_request(store_position after) -> std::string {
+    return absl::StrCat(std::string(changes_path), after.revision,
+                        after.era == 0 ? std::string() : absl::StrCat(std::string(changes_era), after.era));
+}
+
+auto decode_changes_request(std::string_view target) -> result<store_position> {
+    auto rest = absl::string_view(target.data(), target.size());
+    if (!absl::ConsumePrefix(&rest, absl::string_view(changes_path.data(), changes_path.size()))) {
+        return malformed();
+    }
+    const std::vector<absl::string_view> parts =
+        absl::StrSplit(rest, absl::string_view(changes_era.data(), changes_era.size()));
+    auto after = store_position{};
+    if (parts.size() > 2 || !absl::SimpleAtoi(parts.front(), &after.revision) ||
+        (parts.size() == 2 && !absl::SimpleAtoi(parts.back(), &after.era))) {
+        return malformed();
+    }
+    return after;
+}
+
 auto encode_changes(const directory& known, store_position after) -> std::string {
     const auto is_whole =
         after.era != known.era || after.revision < known.removals_dropped_up_to || after.revision == 0;
--- a/src/edge/peer_group_base.h
+++ b/src/edge/peer_group_base.h
@@ -182,6 +182,11 @@
 // Returns the position that a host reports.
 auto position_of(const heartbeat& beat) -> store_position;
 
+// Encodes a request for the changes after a position, as the target of an HTTP request. The error of decoding
+// says that it is none.
+auto encode_changes_request(store_position after) -> std::string;
+auto decode_changes_request(std::string_view target) -> result<store_position>;
+
 // Encodes the changes after a position for another host; all items if later removals are no longer stored, or
 // if the position is of another era.
 auto encode_changes(const directory& known, store_position after) -> std::string;
--- a/tests/edge_peer_test.cpp
+++ b/tests/edge_peer_test.cpp
@@ -1,5 +1,5 @@
-// Tests the messages between hosts: which host is behind, the loads of targets, and
-// the rejection of malformed messages.
+// Tests the messages between hosts: which host is behind, the loads of targets, and the rejection of
+// malformed messages.
 
 #include <rapidcheck.h>
 
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(loads_of_a_silent_host_are_subtracted);
     CPPUNIT_TEST(loads_are_not_subtracted_from_a_new_target);
     CPPUNIT_TEST(host_behind_reads_from_a_host_of_its_zone_first);
+    CPPUNIT_TEST(request_for_changes_is_read_as_written);
     CPPUNIT_TEST(changes_bring_another_host_up_to_date);
     CPPUNIT_TEST(changes_include_removals);
     CPPUNIT_TEST(dropped_removals_make_the_answer_whole);
@@ -221,6 +222,21 @@
         CPPUNIT_ASSERT(!newest_peer(group, {0, 9}, test_start));
     }
 
+    // Hosts of different eras must not read changes after a revision of the other era.
+    auto request_for_changes_is_read_as_written() -> void {
+        CPPUNIT_ASSERT_EQUAL(std::string("/changes?after=7"), encode_changes_request({0, 7}));
+        for (const auto after :
+             {store_position{0, 7}, store_position{3, 0}, store_position{1ULL << 63U, 1}}) {
+            CPPUNIT_ASSERT(*decode_changes_request(encode_changes_request(after)) == after);
+        }
+        for (const auto* target :
+             {"/", "/changes", "/changes?after=", "/changes?after=x",
+              "/changes?after=1&era=", "/changes?after=1&era=-1", "/changes?after=1&era=1&era=2",
+              "/changes?after=1&other=1", "/changes?after=18446744073709551616"}) {
+            CPPUNIT_ASSERT_MESSAGE(target, !decode_changes_request(target));
+        }
+    }
+
     auto changes_bring_another_host_up_to_date() -> void {
         auto ahead = test_state({{"i-1"}, {"i-2"}});
         auto behind = forwarding_state{};
