--- a/src/edge/http.cpp
+++ b/src/edge/http.cpp
@@ -170,7 +170,7 @@
     }
     if (parser.is_done()) {
         const auto keep = parser.keep_alive() && got != 0;
-        auto answer = http_answer{parser.get().result_int(), std::move(parser.get().body()), {}};
+        auto answer = http_answer{parser.get().result_int(), std::move(parser.get().body())};
         const auto kept = parser.get().equal_range(kept_header_);
         for (auto field = kept.first; field != kept.second; ++field) {
             const auto value = field->value();
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -73,9 +73,8 @@
     if (is_watching) {
         return zone_age_ms >= timing.takeover_ms;
     }
-    const auto turn_ms =
-        timing.takeover_ms +
-        (static_cast<std::int64_t>(std::max<std::size_t>(lower_members, 1)) - 1) * takeover_step_ms;
+    const auto earlier_hosts = lower_members == 0 ? std::size_t{0} : lower_members - 1;
+    const auto turn_ms = timing.takeover_ms + static_cast<std::int64_t>(earlier_hosts) * takeover_step_ms;
     return std::min(own_age_ms, zone_age_ms) >= std::min(turn_ms, timing.latest_takeover_ms);
 }
 
--- a/tests/edge_follower_test.cpp
+++ b/tests/edge_follower_test.cpp
@@ -333,7 +333,7 @@
         CPPUNIT_ASSERT(test.server.listen(test.address).has_value());
         test.store.listings = {in_era(page_answer("items", {target_item({"i-1"}, 167)}, 167), "4"),
                                in_era(page_answer("items", {target_item({"i-1"}, 100)}, 107), "5")};
-        test.store.watches = {in_era({410, "", {}}, "5"),
+        test.store.watches = {in_era({410, ""}, "5"),
                               in_era(page_answer("events", {draining_target("i-1", 108)}, 108), "5")};
         test.run_until([&] { return test.known.revision == 108; });
         CPPUNIT_ASSERT(test.known.targets[0].entry.state == target_state::draining);
@@ -362,7 +362,7 @@
             CPPUNIT_ASSERT(test.server.listen(test.address).has_value());
             test.store.listings = {in_era(page_answer("items", {target_item({"i-1"}, 9)}, 9), "1"),
                                    in_era(page_answer("items", {target_item({"i-1"}, 3)}, 3), "2")};
-            test.store.watches = {in_era({status, "", {}}, "2"), in_era(page_answer("events", {}, 3), "2")};
+            test.store.watches = {in_era({status, ""}, "2"), in_era(page_answer("events", {}, 3), "2")};
             test.run_until([&] { return test.store.targets.size() == 5; });
             CPPUNIT_ASSERT((position_of(test.known) == store_position{2, 3}));
             const auto is_listing = [](const std::string& target) {
@@ -397,7 +397,7 @@
             if (was_complete) {
                 test.store.listings.insert(test.store.listings.begin(),
                                            in_era(page_answer("items", {}, 5), "0"));
-                test.store.watches.insert(test.store.watches.begin(), in_era({410, "", {}}, "1"));
+                test.store.watches.insert(test.store.watches.begin(), in_era({410, ""}, "1"));
             }
             test.run_until([&] { return test.known.is_complete && test.known.era == 2; });
             CPPUNIT_ASSERT((position_of(test.known) == store_position{2, 45}));
--- a/tests/edge_hazard_test.cpp
+++ b/tests/edge_hazard_test.cpp
@@ -244,7 +244,7 @@
     auto silent_connections_do_not_block_readiness_checks() -> void {
         auto loop = *event_loop::open();
         const auto address = loopback(free_port());
-        auto server = http_server(loop, [](std::string_view) { return http_answer{200, "ready", {}}; });
+        auto server = http_server(loop, [](std::string_view) { return http_answer{200, "ready"}; });
         CPPUNIT_ASSERT(server.listen(address).has_value());
         auto silent = std::vector<file_descriptor>{};
         for (auto i = 0; i < 100; ++i) {
--- a/tests/edge_store_watch_test.cpp
+++ b/tests/edge_store_watch_test.cpp
@@ -171,6 +171,8 @@
         const auto at = test_start + 50;
         CPPUNIT_ASSERT_EQUAL(std::int64_t{350}, zone_view_age_ms(test.group, 20000, at));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{40}, zone_view_age_ms(test.group, 40, at));
+        CPPUNIT_ASSERT(!test.watches(false, 20000, 50));
+        CPPUNIT_ASSERT(!test.watches(true, 20000, 50));
         // The age of the view itself is not reported and may come from any host.
         CPPUNIT_ASSERT_EQUAL(std::int64_t{50}, view_age_ms(test.group, 20000, at));
     }
