Review case 13: copies of openings go to the service that a route had before

Cause: once three targets have been tried, or none has room, a copy of an opening goes to the target that got the opening last, whatever services its route has now. Change: a script. Bursts of users, and the routes move to another service during each; the case of shared digits is now 14.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 13 into target/review-3/. They need nothing but a C++17 compiler.
+# Builds the stand-ins of the cases 11 to 14 into target/review-3/. They need nothing but a C++17 compiler.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -27,15 +27,14 @@
 constexpr ms drain_ms = 5000;
 
 // Two zones, each with five endpoints, three clients and some hosts.
-void build(world& w, int hosts_per_zone = 2) {
-    set_bounds(w);
+void build(world& w, int hosts_per_zone = 2, unsigned slots = 2, ms work = 40) {
     w.write_config("");
     for (const char* zone : {"norte-bilbao", "norte-oviedo"}) {
         for (int i = 0; i < hosts_per_zone; ++i) {
             w.add_host(zone);
         }
         for (int i = 0; i < 5; ++i) {
-            w.add_endpoint("plazas", zone, 2, 40);
+            w.add_endpoint("plazas", zone, slots, work);
         }
         for (int i = 0; i < 3; ++i) {
             w.add_client(zone);
@@ -108,6 +107,7 @@
 // A host that has just read a listing tells others the changes since their position without the removals.
 int stale_removal(world& w) {
     int broken = 0;
+    set_bounds(w);
     check_drain(w, broken);
     build(w, 4);
     start_traffic(w, 60);
@@ -139,6 +139,7 @@
 // Watches that wait are cut now and then, and each time a host takes the removals of 2.5 s for lapses.
 int cut_watches(world& w) {
     int broken = 0;
+    set_bounds(w);
     check_drain(w, broken);
     build(w);
     start_traffic(w, 60);
@@ -229,9 +230,108 @@
     };
 }
 
+// Copies of opening packets go to the service that a route had before.
+int late_copies(world& w) {
+    int broken = 0;
+    // The bounds and the endpoints are those of the sheet of mjsz-tracker.
+    set_bounds(w);
+    for (const auto& [name, value] : std::map<std::string, std::string>{{"contact-ms", "4000"},
+                                                                        {"ack-ms", "5000"},
+                                                                        {"catch-up-s", "4"},
+                                                                        {"drain-ms", "3000"},
+                                                                        {"config-ms", "3000"},
+                                                                        {"outer-ms", "12000"},
+                                                                        {"recovery-s", "12"}}) {
+        w.bounds[name] = value;
+    }
+    constexpr ms downgrade_ms = 250;
+    constexpr unsigned slots = 3;
+    constexpr ms work = 55;
+    w.queue_limit = 12;
+    // The usual load is 0.58 of what the endpoints can do. In a burst, the 1.7 times the traffic of 3 s come
+    // as the usual traffic and the rest within 600 ms.
+    constexpr double usual_pause = 19;  // between openings of a client
+    constexpr ms burst_ms = 600;
+    constexpr double burst_pause = usual_pause / (1 + 0.7 * 3000 / burst_ms);
+    build(w, 2, slots, work);
+    for (const char* zone : {"norte-bilbao", "norte-oviedo"}) {
+        for (int i = 0; i < 5; ++i) {
+            w.add_endpoint("tickets", zone, slots, work);
+        }
+    }
+    std::string service = "plazas";
+    std::map<const host*, ms> effect;  // when an endpoint of the service took an opening through this host
+    std::map<std::pair<std::uint32_t, std::uint16_t>, std::string> late;
+    const auto change = [&] {
+        service = service == "plazas" ? "tickets" : "plazas";
+        effect.clear();
+        late.clear();
+        w.write_config(w.route(443, "idempotent", service, 2000, 300, 2) + "," +
+                       w.route(8080, "non_idempotent", service, 2000, 400, 1));
+        record("both routes lead to %s", service.c_str());
+    };
+    w.on_syn = [&](endpoint& one, const packet& p, host* via) {
+        const auto* on = w.flow_of(p.src, p.sport);
+        if (via == nullptr || on == nullptr) {
+            return;
+        }
+        if (one.service == service) {
+            effect.emplace(via, now_ms());
+            return;
+        }
+        const auto seen = effect.find(via);
+        const auto sent = on->openings[std::min<std::uint32_t>(p.ack, 2)];
+        if (seen != effect.end() && sent - seen->second > downgrade_ms) {
+            late[{p.src, p.sport}] = "copy " + std::to_string(p.ack) + " of its opening, sent " +
+                                     std::to_string(sent - seen->second) + " ms after an endpoint of " +
+                                     service + " took an opening through " + via->name;
+        }
+    };
+    w.on_run = [&](endpoint& one, const flow* on, const std::string& request) {
+        if (on == nullptr || one.service == service) {
+            return;
+        }
+        for (const auto& [key, text] : late) {
+            if (w.flow_of(key.first, key.second) == on) {
+                ++broken;
+                record("CONFIG: '%s' runs at %s of %s: %s", request.c_str(), one.id.c_str(),
+                       one.service.c_str(), text.c_str());
+            }
+        }
+    };
+    auto next = static_cast<double>(now_ms());
+    auto count = 0;
+    ms burst_end = 0;
+    w.events.every_turn([&] {
+        while (static_cast<double>(now_ms()) >= next) {
+            next += now_ms() < burst_end ? burst_pause : usual_pause;
+            for (std::size_t client = 0; client < w.client_zones.size(); ++client) {
+                ++count;
+                w.open_flow(client, 443, "attempt-" + std::to_string(count), 2000);
+            }
+        }
+    });
+    w.events.run_until(now_ms() + calm_before);
+    for (int round = 0; round < 16; ++round) {
+        if (has_trouble("burst")) {
+            record("a burst begins");
+            burst_end = now_ms() + burst_ms;
+        }
+        w.events.run_until(now_ms() + burst_ms);
+        if (has_trouble("change")) {
+            change();
+        }
+        w.events.run_until(now_ms() + 5000 - burst_ms);
+    }
+    summary(w);
+    record("requests run by the former service although sent later than downgrade-ms: %d", broken);
+    return broken != 0 ? 1 : 0;
+}
+
 // An endpoint is added whose id ends in the same eight hexadecimal digits as that of a working one.
 int shared_digits(world& w) {
     int broken = 0;
+    set_bounds(w);
     check_resets(w, broken);
     w.long_work = 240;
     build(w);
@@ -262,8 +362,10 @@
     if (record_file() == nullptr) {
         return 2;
     }
-    const std::map<std::string, int (*)(world&)> cases = {
-        {"stale-removal", stale_removal}, {"cut-watches", cut_watches}, {"shared-digits", shared_digits}};
+    const std::map<std::string, int (*)(world&)> cases = {{"stale-removal", stale_removal},
+                                                          {"cut-watches", cut_watches},
+                                                          {"late-copies", late_copies},
+                                                          {"shared-digits", shared_digits}};
     if (cases.count(name) == 0) {
         fprintf(stderr, "unknown case %s\n", name.c_str());
         return 2;
--- a/review/standin-3/standin.hh
+++ b/review/standin-3/standin.hh
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -423,7 +424,8 @@
     bool is_open = false, is_done = false;
     int copies = 0;
     ms started = 0, next_send = 0, pause = 200;
-    std::string request;  // unanswered
+    ms openings[3] = {0, 0, 0};  // when each copy of its opening packet was sent
+    std::string request;         // unanswered
     std::uint32_t request_seq = 0;
     ms sent = 0, deadline = 0;
     std::uint32_t endpoint_ip = 0;  // that opened it
@@ -491,24 +493,28 @@
     std::string seeds;
     ms heartbeat = 770;
     std::uint32_t service_ip;
-    ms long_work = 0;  // of a request that contains "long"; 0: as any other
+    ms long_work = 0;             // of a request that contains "long"; 0: as any other
+    std::size_t queue_limit = 0;  // requests that wait at an endpoint before it is full; 0: no limit
     int asked = 0, run = 0, answered = 0, unopened = 0, resets = 0, refused = 0, late = 0;
 
     std::function<void(endpoint&, const packet&, host*)> on_syn;  // an endpoint gets an opening packet
     std::function<void(flow&)> on_end;                   // a flow ends before its request is answered
     std::function<void(flow&, std::uint32_t)> on_reset;  // a client gets a reset, and from which address
-    std::function<void(endpoint&, const std::string&)> on_run;  // an endpoint begins to work
+    std::function<void(endpoint&, const flow*, const std::string&)> on_run;  // an endpoint begins to work
 
     flow* find_flow(std::size_t client, std::uint16_t port) {
         const auto found = flows_.find({client, port});
         return found == flows_.end() || found->second.is_done ? nullptr : &found->second;
     }
+    // The flow of a client's address and port.
+    const flow* flow_of(std::uint32_t ip, std::uint16_t port) const;
     host* host_at(std::uint32_t ip);
     host* route_of(std::size_t client, std::uint16_t port);
     endpoint* endpoint_at(std::uint32_t ip);
     std::vector<std::string> client_zones;
 
 private:
+    bool is_full(const endpoint& one) const;
     void read_client(std::size_t client);
     void read_endpoint(endpoint& one);
     void begin_work(endpoint& one);
@@ -618,6 +624,7 @@
     fclose(file);
     const pid_t pid = fork();
     if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         setenv("AGATEPOST_BOOT", one.settings_path.c_str(), 1);
         const int log = open(one.log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(log, 1);
@@ -652,6 +659,12 @@
     }
 }
 
+inline const flow* world::flow_of(std::uint32_t ip, std::uint16_t port) const {
+    const auto client = std::find(client_ips_.begin(), client_ips_.end(), ip);
+    const auto found = flows_.find({static_cast<std::size_t>(client - client_ips_.begin()), port});
+    return found == flows_.end() ? nullptr : &found->second;
+}
+
 inline host* world::host_at(std::uint32_t ip) {
     for (auto& one : hosts) {
         if (one.ip == ip) {
@@ -793,6 +806,7 @@
     one.seq = one.isn + 1;
     one.started = now_ms();
     one.next_send = one.started + 200;
+    one.openings[0] = one.started;
     one.request = request;
     one.deadline = one.started + deadline;
     one.on_answer = std::move(on_answer);
@@ -916,7 +930,7 @@
         ++run;
         record("run '%s' at %s", request.c_str(), one.id.c_str());
         if (on_run) {
-            on_run(one, request);
+            on_run(one, flow_of(key.first, key.second), request);
         }
         const bool is_long = long_work != 0 && request.find("long") != std::string::npos;
         events.at(now_ms() + (is_long ? long_work : one.work), [this, &one, key = key, request = request] {
@@ -936,6 +950,13 @@
     }
 }
 
+// Whether its slots and its queue are taken, also by flows that will bring a request.
+inline bool world::is_full(const endpoint& one) const {
+    const auto opening = std::count_if(one.connections.begin(), one.connections.end(),
+                                       [](const auto& entry) { return !entry.second.is_open; });
+    return one.busy + one.queue.size() + static_cast<std::size_t>(opening) >= one.slots + queue_limit;
+}
+
 inline void world::read_endpoint(endpoint& one) {
     std::string bytes;
     std::uint32_t sender = 0;
@@ -955,6 +976,11 @@
             if ((p.flags & flag_ack) != 0) {
                 continue;
             }
+            // A full endpoint sends nothing.
+            const auto is_known = one.connections.find(key) != one.connections.end();
+            if (queue_limit != 0 && !is_known && is_full(one)) {
+                continue;
+            }
             ++one.syns;
             if (on_syn) {
                 on_syn(one, p, via);
@@ -1094,6 +1120,7 @@
                 }
             } else if (at >= one.next_send && one.copies < 2) {
                 ++one.copies;
+                one.openings[one.copies] = at;
                 one.next_send = one.started + 600;
                 send_client(one, flag_syn, "", one.isn, static_cast<std::uint32_t>(one.copies));
             }
