--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "edge/carrier_func.h"
 #include "edge/directory_base.h"
 #include "edge/evacuation_func.h"
 
@@ -35,51 +36,6 @@
     }
 }
 
-// Maps the carrier to the target. Of several targets with the same carrier, the one with the lowest name gets
-// it on all hosts; the others get no flows.
-auto map_carrier(directory& known, target_index index) -> void {
-    const auto& entry = known.targets[index].entry;
-    const auto [holder, is_new] = known.by_carrier.try_emplace(entry.carrier, index);
-    if (!is_new && entry.name < known.targets[holder->second].entry.name) {
-        holder->second = index;
-    }
-}
-
-// Maps the carrier of a new target, and records the targets that share it.
-auto claim_carrier(directory& known, target_index index) -> void {
-    const auto carrier = known.targets[index].entry.carrier;
-    if (const auto holder = known.by_carrier.find(carrier); holder != known.by_carrier.end()) {
-        auto& shared = known.by_shared_carrier[carrier];
-        if (shared.empty()) {
-            shared.push_back(holder->second);
-        }
-        shared.push_back(index);
-    }
-    map_carrier(known, index);
-}
-
-// Removes the carrier's mapping to the target, and maps it to another target with the same carrier, if there
-// is one.
-auto release_carrier(directory& known, target_index index) -> void {
-    const auto carrier = known.targets[index].entry.carrier;
-    const auto found = known.by_carrier.find(carrier);
-    if (found != known.by_carrier.end() && found->second == index) {
-        known.by_carrier.erase(found);
-    }
-    const auto shared = known.by_shared_carrier.find(carrier);
-    if (shared == known.by_shared_carrier.end()) {
-        return;
-    }
-    auto& others = shared->second;
-    others.erase(std::remove(others.begin(), others.end(), index), others.end());
-    for (const auto other : others) {
-        map_carrier(known, other);
-    }
-    if (others.size() <= 1) {
-        known.by_shared_carrier.erase(shared);
-    }
-}
-
 auto set_gone(directory& known, target_index index, time_ms at) -> void {
     auto& record = known.targets[index];
     record.has_left = record.entry.state == target_state::draining;
@@ -90,7 +46,7 @@
 
 auto erase_target(directory& known, target_index index) -> void {
     auto& record = known.targets[index];
-    release_carrier(known, index);
+    release_carriers(known, index);
     known.by_name.erase(record.entry.name);
     record = target_record{};
     known.unused.push_back(index);
@@ -109,7 +65,7 @@
         record.is_in_use = true;
         known.by_name.emplace(record.entry.name, index);
         known.by_service[record.entry.service].push_back(index);
-        claim_carrier(known, index);
+        claim_carriers(known, index);
         return directory_change::target_added;
     }
     const auto index = found->second;
@@ -365,11 +321,6 @@
     return gone;
 }
 
-auto find_carrier(directory& known, std::uint32_t carrier) -> target_record* {
-    const auto found = known.by_carrier.find(carrier);
-    return found == known.by_carrier.end() ? nullptr : &known.targets[found->second];
-}
-
 auto find_route(directory& known, const flow_key& flow) -> route_record* {
     const auto found = known.routes.find(route_key(flow.service_address, flow.service_port));
     return found == known.routes.end() ? nullptr : &found->second;
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -84,6 +84,7 @@
 struct target_record {
     target_entry entry;
     std::uint64_t revision = 0;
+    std::uint32_t opening_carrier = 0;  // written into new flows; 0: other targets share all its carriers
     presence state = presence::registered;
     bool has_left = false;             // it drained before it was gone, so its flows have ended
     time_ms changed_at;                // when `state` changed
@@ -176,9 +177,8 @@
     std::vector<target_record> targets;
     std::vector<target_index> unused;
     absl::flat_hash_map<std::string, target_index> by_name;
-    absl::flat_hash_map<std::uint32_t, target_index> by_carrier;
-    absl::flat_hash_map<std::uint32_t, std::vector<target_index>>
-        by_shared_carrier;  // of two targets or more
+    absl::flat_hash_map<std::uint32_t, target_index> by_carrier;  // the first of them to register
+    absl::flat_hash_map<std::uint32_t, std::vector<target_index>> shared_carriers;  // of two targets or more
     absl::flat_hash_map<std::string, std::vector<target_index>> by_service;
     absl::flat_hash_map<std::uint64_t, route_record> routes;
     absl::flat_hash_map<std::string, known_item> items;
@@ -220,9 +220,6 @@
 // not count.
 auto update_route_priorities(directory& known) -> void;
 
-// Returns the target with this carrier, or nullptr.
-auto find_carrier(directory& known, std::uint32_t carrier) -> target_record*;
-
 // Returns the route of a service address, or nullptr.
 auto find_route(directory& known, const flow_key& flow) -> route_record*;
 
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -335,10 +335,11 @@
 }
 
 auto edge_host::forward(packet_buffer& buffer, const packet_verdict& verdict) -> void {
-    const auto& target = state_.known.targets[verdict.target].entry;
+    const auto& record = state_.known.targets[verdict.target];
+    const auto& target = record.entry;
     platform_.write_prefix(buffer.bytes.data(), target.tag);
     if (verdict.writes_carrier) {
-        platform_.write_carrier(buffer.packet(), target.carrier);
+        platform_.write_carrier(buffer.packet(), record.opening_carrier);
     }
     packets_.queue(buffer.bytes.data(), forward_prefix_bytes + buffer.size, target.address, target.port);
 }
@@ -352,11 +353,12 @@
 
 // Writes a SYN for its target into one of `syn_buffers_`, and queues it.
 auto edge_host::queue_syn(const syn_resend& resend, std::size_t slot) -> void {
-    const auto& target = state_.known.targets[resend.target].entry;
+    const auto& record = state_.known.targets[resend.target];
+    const auto& target = record.entry;
     auto& bytes = syn_buffers_[slot];
     platform_.write_prefix(bytes.data(), target.tag);
     std::copy(resend.packet.begin(), resend.packet.end(), bytes.begin() + forward_prefix_bytes);
-    platform_.write_carrier(bytes.data() + forward_prefix_bytes, target.carrier);
+    platform_.write_carrier(bytes.data() + forward_prefix_bytes, record.opening_carrier);
     packets_.queue(bytes.data(), bytes.size(), target.address, target.port);
 }
 
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -1,7 +1,9 @@
 #include <absl/algorithm/container.h>
 
 #include <algorithm>
+#include <optional>
 
+#include "edge/carrier_func.h"
 #include "edge/flow_counts_func.h"
 #include "edge/former_service_func.h"
 #include "edge/forwarding_base.h"
@@ -159,6 +161,29 @@
                                !has_answered_since(target.load, target.changed_at, at));
 }
 
+// Returns which of several targets that share the packet's carrier has the flow: the one that this host knows
+// it to be at, or the only one whose service the route may have had. Nothing if several may have it, since
+// the others would reset it.
+auto find_among_sharers(const forwarding_state& state, const client_packet& packet, const route_record& route,
+                        const std::vector<target_index>& sharers, time_ms at) -> std::optional<target_index> {
+    if (const auto found = state.flows.find(packet.flow); found != state.flows.end()) {
+        const auto& flow = found->second;
+        const auto holder = absl::c_find_if(sharers, [&](target_index index) {
+            return flow.is_open ? flow.target == index : absl::c_linear_search(flow.tried, index);
+        });
+        if (holder != sharers.end()) {
+            return *holder;
+        }
+    }
+    const auto may_have_it = [&](target_index index) {
+        const auto& service = state.known.targets[index].entry.service;
+        return relation_to_route(route, service, state.former_services_until, at) !=
+               service_relation::foreign;
+    };
+    return absl::c_count_if(sharers, may_have_it) == 1 ? std::optional(*absl::c_find_if(sharers, may_have_it))
+                                                       : std::nullopt;
+}
+
 auto handle_established(forwarding_state& state, const client_packet& packet, const packet_context& context,
                         time_ms at) -> packet_verdict {
     if (packet.carrier == 0) {
@@ -169,11 +194,14 @@
         return context.is_view_current ? refuse(packet_reason::unknown_route)
                                        : drop(packet_reason::stale_route);
     }
-    const auto found = state.known.by_carrier.find(packet.carrier);
-    if (found == state.known.by_carrier.end()) {
-        return handle_unknown_carrier(state, packet, context, at);
+    const auto* sharers = find_sharers(state.known, packet.carrier);
+    const auto holder = sharers == nullptr ? find_carrier(state.known, packet.carrier)
+                                           : find_among_sharers(state, packet, *route, *sharers, at);
+    if (!holder) {
+        return sharers == nullptr ? handle_unknown_carrier(state, packet, context, at)
+                                  : drop(packet_reason::shared_carrier);
     }
-    const auto index = found->second;
+    const auto index = *holder;
     auto& target = state.known.targets[index];
     const auto relation = relation_to_route(*route, target.entry.service, state.former_services_until, at);
     if (relation == service_relation::foreign) {
@@ -335,6 +363,8 @@
             return "unknown_carrier_reset";
         case packet_reason::foreign_carrier:
             return "foreign_carrier";
+        case packet_reason::shared_carrier:
+            return "shared_carrier";
         case packet_reason::target_left:
             return "target_left";
         case packet_reason::target_dead:
--- a/src/edge/liveness_query.cpp
+++ b/src/edge/liveness_query.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "core/cbor_func.h"
+#include "edge/carrier_func.h"
 #include "edge/liveness_query_func.h"
 #include "edge/suspicion_func.h"
 
@@ -103,7 +104,7 @@
     for (auto& query : queries) {
         if (!query.is_sent) {
             query.is_sent = true;
-            question.asked.push_back(known.targets[query.target].entry.carrier);
+            question.asked.push_back(message_carrier(known.targets[query.target]));
         }
     }
     return question;
@@ -116,9 +117,8 @@
         return answer;
     }
     for (const auto carrier : question.asked) {
-        const auto found = known.by_carrier.find(carrier);
-        if (found != known.by_carrier.end()) {
-            answer.silences.push_back({carrier, silence_ms(known.targets[found->second].load, at)});
+        if (const auto found = find_carrier(known, carrier)) {
+            answer.silences.push_back({carrier, silence_ms(known.targets[*found].load, at)});
         }
     }
     return answer;
@@ -128,11 +128,11 @@
                             const liveness_message& answer, time_ms at) -> std::size_t {
     auto alive = std::size_t{0};
     for (const auto& silence : answer.silences) {
-        const auto found = known.by_carrier.find(silence.carrier);
-        if (found == known.by_carrier.end()) {
+        const auto found = find_carrier(known, silence.carrier);
+        if (!found) {
             continue;
         }
-        const auto index = found->second;
+        const auto index = *found;
         const auto query =
             absl::c_find_if(queries, [&](const liveness_query& one) { return one.target == index; });
         if (query == queries.end()) {
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -11,6 +11,7 @@
 
 #include "core/cbor_func.h"
 #include "core/counter_func.h"
+#include "edge/carrier_func.h"
 #include "edge/suspicion_func.h"
 
 namespace agatepost::edge {
@@ -98,14 +99,14 @@
 
 auto add_loads(peer_record& peer, directory& known) -> void {
     for (const auto& reported : peer.last.loads) {
-        const auto found = known.by_carrier.find(reported.carrier);
-        if (found == known.by_carrier.end()) {
+        const auto found = find_carrier(known, reported.carrier);
+        if (!found) {
             continue;
         }
-        auto& target = known.targets[found->second];
+        auto& target = known.targets[*found];
         target.load.peer_busy_flows += reported.busy;
         target.load.peer_open_flows += reported.open;
-        peer.applied.push_back({found->second, target.entry.name, reported.busy, reported.open});
+        peer.applied.push_back({*found, target.entry.name, reported.busy, reported.open});
     }
 }
 
@@ -350,7 +351,7 @@
     for (const auto& target : known.targets) {
         const auto busy = target.load.busy_flows + target.load.pending_syns;
         if (target.is_in_use && (busy != 0 || target.load.open_flows != 0)) {
-            loads.push_back({target.entry.carrier, busy, target.load.open_flows});
+            loads.push_back({message_carrier(target), busy, target.load.open_flows});
         }
     }
     return loads;
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -58,8 +58,7 @@
         is_evacuated(known, target)) {
         return false;
     }
-    const auto holder = known.by_carrier.find(target.entry.carrier);
-    return holder != known.by_carrier.end() && holder->second == index;
+    return target.opening_carrier != 0;
 }
 
 // The finalizer of SplitMix64. Unlike the seeded hashes of containers it is equal on all hosts.
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -51,8 +51,8 @@
 constexpr double lower_priority_latency_share = 0.8;
 constexpr double highest_priority_latency_share = 2.0;
 
-// Returns whether new flows may go to a target: it is ready, its zone is not evacuated, and it is the one
-// that its carrier names.
+// Returns whether new flows may go to a target: it is ready, its zone is not evacuated, and a carrier names
+// no other target.
 auto takes_new_flows(const directory& known, target_index index) -> bool;
 
 // Returns a target's requests in progress and pending SYNs per slot, as known to this host.
