--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -221,7 +221,7 @@
 }  // namespace
 
 auto position_of(const directory& known) -> store_position {
-    return {known.era, known.is_complete ? known.revision : 0};
+    return {known.era, known.is_complete && !known.may_lack_changes ? known.revision : 0};
 }
 
 auto decode_item(const platform_plugin& platform, const store_item& item) -> decoded_item {
@@ -293,7 +293,18 @@
     return missing;
 }
 
+auto finish_listing(directory& known, const absl::flat_hash_map<std::string, bool>& listed,
+                    std::uint64_t first_revision, time_ms at) -> std::vector<std::string> {
+    auto missing = remove_unlisted(known, listed, first_revision, at);
+    known.removals_dropped_up_to = std::max(known.removals_dropped_up_to, first_revision);
+    known.revision = std::max(known.revision, first_revision);
+    known.is_complete = true;
+    known.may_lack_changes = false;
+    return missing;
+}
+
 auto discard_invalid_revisions(directory& known, std::uint64_t store_revision) -> void {
+    known.may_lack_changes = true;
     known.revision = std::min(known.revision, store_revision);
     known.removals_dropped_up_to = std::min(known.removals_dropped_up_to, store_revision);
     for (auto& [key, item] : known.items) {
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -165,6 +165,7 @@
     std::uint64_t revision = 0;                // all changes up to this revision are known
     std::uint64_t removals_dropped_up_to = 0;  // `items` may lack removals up to this revision
     bool is_complete = false;                  // a complete listing was read
+    bool may_lack_changes = false;             // `revision` was false, and no listing was read since
     time_ms lapse_grace_until;                 // removals learned before this time may be lapses
     time_ms era_grace_until;                   // the same for draining targets, after a change of the era
     time_ms startup_grace_until;               // end of the startup grace period; see `startup_grace_ms`
@@ -191,7 +192,8 @@
     return (static_cast<std::uint64_t>(address) << 16U) | port;
 }
 
-// Returns the position up to which all changes are known; revision 0 without a complete listing.
+// Returns the position up to which all changes are known; revision 0 without a complete listing, or if
+// changes may be missing. Other hosts read no changes from such a host.
 auto position_of(const directory& known) -> store_position;
 
 auto decode_item(const platform_plugin& platform, const store_item& item) -> decoded_item;
@@ -208,8 +210,15 @@
 auto remove_unlisted(directory& known, const absl::flat_hash_map<std::string, bool>& listed,
                      std::uint64_t first_revision, time_ms at) -> std::vector<std::string>;
 
+// Takes over a complete listing of the own era, read from `first_revision` on, after its items were applied.
+// Removals before that revision are not known one by one, so hosts that are behind it get all items. Returns
+// the keys of the items that the listing lacks.
+auto finish_listing(directory& known, const absl::flat_hash_map<std::string, bool>& listed,
+                    std::uint64_t first_revision, time_ms at) -> std::vector<std::string>;
+
 // Discards revisions above the store's newest one, `store_revision`: another host reported invalid ones. The
-// next listing replaces the items.
+// next listing replaces the items. Until then changes may be missing, since a watch from an invalid revision
+// returned none.
 auto discard_invalid_revisions(directory& known, std::uint64_t store_revision) -> void;
 
 // Marks lapsed targets as gone after the grace period, and erases targets without flows that have been gone
--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -19,6 +19,7 @@
 #include "edge/http_base.h"
 #include "edge/liveness_query_func.h"
 #include "edge/packet_io_base.h"
+#include "edge/peer_changes_func.h"
 #include "edge/peer_group_base.h"
 #include "edge/store_era_func.h"
 #include "edge/store_follower_base.h"
@@ -161,9 +162,8 @@
     auto update_assignment(time_ms at) -> void;
     auto update_cold_assignment(time_ms at) -> void;
     auto sync_with_peers(time_ms at) -> void;
-    auto apply_changes(std::uint32_t peer, store_position reported, const result<http_answer>& answer)
-        -> void;
-    auto apply_changes_of_era(const peer_changes& changes, time_ms at) -> void;
+    auto take_changes(std::uint32_t peer, store_position asked, store_position reported,
+                      const result<http_answer>& answer) -> void;
     auto log_era(const era_change& change, std::string_view source) -> void;
     auto log_invalid_era(const error& fault, time_ms at) -> void;
     auto choose_role(time_ms at) -> void;
@@ -721,18 +721,18 @@
     const auto server = endpoint{to_address(*peer), settings_.sync_address.port};
     const auto reported = position_of(group_.peers.at(*peer).last);
     sync_client_.call(server, encode_changes_request(own), at + sync_timeout_ms,
-                      [this, peer = *peer, reported](const result<http_answer>& answer) {
-                          apply_changes(peer, reported, answer);
+                      [this, peer = *peer, own, reported](const result<http_answer>& answer) {
+                          take_changes(peer, own, reported, answer);
                       });
 }
 
-auto edge_host::apply_changes(std::uint32_t peer, store_position reported, const result<http_answer>& answer)
-    -> void {
+auto edge_host::take_changes(std::uint32_t peer, store_position asked, store_position reported,
+                             const result<http_answer>& answer) -> void {
     const auto at = boot_now();
     is_behind_ = false;
     const auto changes =
         answer ? decode_changes(answer->body) : result<peer_changes>(tl::unexpected<error>(answer.error()));
-    if (!changes || store_position{changes->era, changes->revision} < reported) {
+    if (!changes || position_of(*changes) < reported) {
         avoid_peer(group_, peer, at);
         write_log(log_event::peer_read_failed,
                   {{"peer", address_text(peer)},
@@ -744,48 +744,27 @@
     if (!changes || changes->revision == 0) {
         return;
     }
-    apply_changes_of_era(*changes, at);
-    has_new_reports_ = true;  // the peer may have more by now
-    if (is_large_fleet(group_)) {
-        next_heartbeat_ = at;  // reports the new position
+    count(changes->is_whole ? counter::edge_peer_copies : counter::edge_peer_increments);
+    const auto applied = apply_changes(state_.known, *changes, asked, at);
+    if (applied.outcome == changes_outcome::unusable) {
+        count(counter::edge_peer_unusable);
     }
-}
-
-// Takes the changes of the own era, or all items of a higher one in a single step. Changes of a lower era are
-// of no use.
-auto edge_host::apply_changes_of_era(const peer_changes& changes, time_ms at) -> void {
-    const auto is_other_era = state_.known.is_complete && changes.era != state_.known.era;
-    if (is_other_era) {
-        if (changes.era > state_.known.era && changes.is_whole) {
-            auto copy = std::vector<decoded_item>{};
-            for (const auto& item : changes.items) {
-                copy.push_back(decode_item(platform_, item));
-            }
-            log_era(adopt_era(state_.known, {changes.era, changes.revision}, std::move(copy), at), "host");
-            follower_.restart(at);
-        }
-        return;
+    for (const auto& [item, outcome] : applied.items) {
+        log_item(item, outcome, state_.known);
     }
-    if (!state_.known.is_complete && changes.era != state_.known.era) {
-        discard_invalid_revisions(state_.known, 0);  // items of a listing of another era in progress
-        state_.known.era = changes.era;
-        follower_.restart(at);
+    for (const auto& key : applied.unlisted) {
+        log_unlisted(key, state_.known);
     }
-    auto listed = absl::flat_hash_map<std::string, bool>{};
-    for (const auto& item : changes.items) {
-        listed[item.key] = true;
-        const auto outcome = apply_item(state_.known, item, at);
-        if (outcome.change != directory_change::none) {
-            log_item(item, outcome, state_.known);
-        }
+    if (applied.era) {
+        log_era(*applied.era, "host");
     }
-    if (changes.is_whole) {
-        for (const auto& key : remove_unlisted(state_.known, listed, changes.revision, at)) {
-            log_unlisted(key, state_.known);
-        }
+    if (applied.is_restarted) {
+        follower_.restart(at);
+    }
+    has_new_reports_ = true;  // the peer may have more by now
+    if (is_large_fleet(group_)) {
+        next_heartbeat_ = at;  // reports the new position
     }
-    state_.known.revision = std::max(state_.known.revision, changes.revision);
-    state_.known.is_complete = true;
 }
 
 auto edge_host::log_era(const era_change& change, std::string_view source) -> void {
--- a/src/edge/peer_group.cpp
+++ b/src/edge/peer_group.cpp
@@ -378,14 +378,19 @@
 }
 
 auto encode_changes(const directory& known, store_position after) -> std::string {
-    const auto is_whole =
-        after.era != known.era || after.revision < known.removals_dropped_up_to || after.revision == 0;
+    const auto is_same_era = after.era == known.era && after.revision != 0;
+    const auto is_whole = !is_same_era || after.revision < known.removals_dropped_up_to;
     auto items = json::array();
     for (const auto& [key, item] : known.items) {
-        if ((is_whole && !item.is_removed) || (!is_whole && item.revision > after.revision)) {
-            items.push_back(json::array(
-                {key, json::binary({item.value.begin(), item.value.end()}), item.revision, item.is_removed}));
+        const auto is_newer = !is_same_era || item.revision > after.revision;
+        if (is_whole ? item.is_removed : !is_newer) {
+            continue;
+        }
+        auto value = json::binary({});
+        if (is_newer) {
+            value = json::binary({item.value.begin(), item.value.end()});
         }
+        items.push_back(json::array({key, std::move(value), item.revision, item.is_removed}));
     }
     const auto message = json::array({encode_position(position_of(known)), is_whole, std::move(items)});
     auto bytes = std::string();
@@ -393,6 +398,10 @@
     return bytes;
 }
 
+auto position_of(const peer_changes& changes) -> store_position {
+    return {changes.era, changes.revision};
+}
+
 auto decode_changes(std::string_view bytes) -> result<peer_changes> {
     const auto message = read_cbor(bytes);
     const auto position = message.is_array() && message.size() == 3 ? decode_position(message[0])
--- a/src/edge/peer_group_base.h
+++ b/src/edge/peer_group_base.h
@@ -187,8 +187,8 @@
 auto encode_changes_request(store_position after) -> std::string;
 auto decode_changes_request(std::string_view target) -> result<store_position>;
 
-// Encodes the changes after a position for another host; all items if later removals are no longer stored, or
-// if the position is of another era.
+// Encodes the changes after a position for another host; all items if removals after it are not known one by
+// one, or if the position is of another era. Values that the other host has by its position are left empty.
 auto encode_changes(const directory& known, store_position after) -> std::string;
 
 // Changes received from another host.
@@ -199,6 +199,8 @@
     std::uint64_t era = 0;
 };
 
+auto position_of(const peer_changes& changes) -> store_position;
+
 auto decode_changes(std::string_view bytes) -> result<peer_changes>;
 
 }  // namespace agatepost::edge
--- a/src/edge/store_era.cpp
+++ b/src/edge/store_era.cpp
@@ -169,6 +169,7 @@
     known.revision = to.revision;
     known.removals_dropped_up_to = to.revision;
     known.is_complete = true;
+    known.may_lack_changes = false;
     return change;
 }
 
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -33,7 +33,7 @@
     is_enabled_ = is_enabled;
     next_call_ = at;
     is_unconfirmed_ = true;
-    needs_listing_ = needs_listing_ && !known_.is_complete;
+    needs_listing_ = needs_listing_ && position_of(known_).revision == 0;
     list_after_key_.clear();
     if (!is_enabled) {
         client_.cancel();
@@ -202,11 +202,9 @@
 // Pages are no snapshot: the watch returns again the changes made while they were read.
 auto store_follower::finish_listing(time_ms at) -> void {
     if (list_era_ == known_.era) {
-        for (const auto& key : remove_unlisted(known_, listed_, list_revision_, at)) {
+        for (const auto& key : edge::finish_listing(known_, listed_, list_revision_, at)) {
             events_.on_target_gone(key);
         }
-        known_.revision = std::max(known_.revision, list_revision_);
-        known_.is_complete = true;
     } else {
         events_.on_era(adopt_era(known_, {list_era_, list_revision_}, std::exchange(copy_, {}), at));
     }
