--- a/src/edge/evacuation.cpp
+++ b/src/edge/evacuation.cpp
@@ -66,14 +66,4 @@
            });
 }
 
-auto target_of_copy(const directory& known, target_index latest, const tried_targets& tried)
-    -> std::optional<target_index> {
-    const auto may_get_it = [&](target_index index) { return !is_evacuated(known, known.targets[index]); };
-    if (may_get_it(latest)) {
-        return latest;
-    }
-    const auto found = std::find_if(tried.rbegin(), tried.rend(), may_get_it);
-    return found == tried.rend() ? std::nullopt : std::optional<target_index>(*found);
-}
-
 }  // namespace agatepost::edge
--- a/src/edge/evacuation_func.h
+++ b/src/edge/evacuation_func.h
@@ -2,7 +2,6 @@
 // no clock. The design is in docs/design/evacuation.md.
 #pragma once
 
-#include <optional>
 #include <string>
 
 #include "edge/directory_base.h"
@@ -33,9 +32,4 @@
 // are such targets in evacuated zones only.
 auto is_refused_for_evacuation(const directory& known, const route_entry& route) -> bool;
 
-// Returns the target for a copy of a SYN that no further target gets: `latest`, or, if that is evacuated, the
-// last of the `tried` targets that is not. Nothing if all are evacuated.
-auto target_of_copy(const directory& known, target_index latest, const tried_targets& tried)
-    -> std::optional<target_index>;
-
 }  // namespace agatepost::edge
--- a/src/edge/opening.cpp
+++ b/src/edge/opening.cpp
@@ -95,6 +95,36 @@
     return flow.highest_sequence - (packet.sequence + 1) < most_request_bytes;
 }
 
+// Returns whether a copy of an open flow's SYN goes to the flow's target. A copy that is only likely to be
+// one must be allowed to open a flow there.
+auto may_get_copy(const forwarding_state& state, const client_packet& packet, const flow_record& flow,
+                  const route_record& route) -> bool {
+    if (flow.is_at_former_service || !is_retransmitted_syn(packet, flow)) {
+        return false;
+    }
+    return flow.has_seen_syn ? is_backend(route.entry, state.known.targets[flow.target].entry.service)
+                             : may_open_at(state.known, route.entry, flow.target);
+}
+
+// Returns the target for a copy of a SYN that no further target gets: the last of those that it was sent to
+// where it may still open a flow. Nothing if there is none.
+auto target_of_copy(const directory& known, const route_record& route, const flow_record& flow)
+    -> std::optional<target_index> {
+    const auto may_get_it = [&](target_index index) { return may_open_at(known, route.entry, index); };
+    const auto found = std::find_if(flow.tried.rbegin(), flow.tried.rend(), may_get_it);
+    return found == flow.tried.rend() ? std::nullopt : std::optional<target_index>(*found);
+}
+
+// Forgets the targets that a flow's SYN was sent to if it may open a flow at none of them any more, so that
+// it is placed again: its route has moved, or they drain or are evacuated.
+auto forget_former_targets(forwarding_state& state, const route_record& route, flow_record& flow, time_ms at)
+    -> void {
+    if (!flow.tried.empty() && !target_of_copy(state.known, route, flow)) {
+        forget_tried_targets(state, flow);
+        flow.syn_sent_at = at;
+    }
+}
+
 // Returns whether SYNs of the route are refused only after those of all other routes of its service.
 auto is_refused_last(const route_record& route) -> bool {
     return route.is_highest_priority && route.has_lower_priority_route;
@@ -269,7 +299,8 @@
     return done;
 }
 
-// Moves the SYNs of a queue whose wait ends now to `taken`. Those behind one that cannot be placed wait on.
+// Moves the SYNs of a queue whose wait ends now to `taken`. Those behind one that cannot be placed wait on,
+// but for those whose route has moved to another service.
 auto collect_from_queue(forwarding_state& state, const std::string& service, service_queue& queue, time_ms at,
                         std::vector<waited_opening>& taken) -> void {
     auto can_place_more = true;
@@ -277,16 +308,20 @@
         for (auto i = syns.begin(); i != syns.end();) {
             const auto found = state.flows.find(i->flow);
             const auto is_waiting = found != state.flows.end() && found->second.is_waiting;
-            if (is_waiting && !can_place_more && at < i->wait_deadline && !is_cut_off(state.reach, at) &&
-                !has_client_given_up(found->second, at)) {
+            const auto* route = find_route(state.known, i->flow);
+            const auto has_moved = route != nullptr && queue_service(*route) != service;
+            if (is_waiting && !can_place_more && !has_moved && at < i->wait_deadline &&
+                !is_cut_off(state.reach, at) && !has_client_given_up(found->second, at)) {
                 ++i;
                 continue;
             }
             if (is_waiting) {
                 auto done = try_end_wait(state, *i, at);
                 if (!done) {
-                    can_place_more = false;
-                    record_overload_of(state, service, at);
+                    if (!has_moved) {
+                        can_place_more = false;
+                        record_overload_of(state, service, at);
+                    }
                     ++i;
                     continue;
                 }
@@ -378,7 +413,7 @@
     if (flow.is_open) {
         // A SYN never goes to a former service. A late copy of the flow's SYN is placed as a new flow, whose
         // SYN-ACK the client resets.
-        if (!flow.is_at_former_service && is_retransmitted_syn(packet, flow)) {
+        if (may_get_copy(state, packet, flow, *route)) {
             if (!send_cold_copy(state, flow.target, at)) {
                 return drop(packet_reason::cold_limited);
             }
@@ -420,6 +455,7 @@
             return handle_overload(state, packet, context, *route, flow, at);
         }
     }
+    forget_former_targets(state, *route, flow, at);
     auto refusal = packet_reason::no_target;
     if (flow.tried.size() < syn_target_limit) {
         const auto target = place(state, *route, flow, is_first, at);
@@ -435,7 +471,7 @@
         state.flows.erase(packet.flow);
         return refuse_syn(packet, refusal);
     }
-    const auto target = target_of_copy(state.known, flow.target, flow.tried);
+    const auto target = target_of_copy(state.known, *route, flow);
     if (!target) {
         return drop(packet_reason::may_be_answered);
     }
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -61,6 +61,16 @@
     return target.opening_carrier != 0;
 }
 
+auto is_backend(const route_entry& route, const std::string& service) -> bool {
+    return absl::c_any_of(route.backends, [&](const route_backend& backend) {
+        return backend.weight != 0 && backend.service == service;
+    });
+}
+
+auto may_open_at(const directory& known, const route_entry& route, target_index index) -> bool {
+    return takes_new_flows(known, index) && is_backend(route, known.targets[index].entry.service);
+}
+
 // The finalizer of SplitMix64. Unlike the seeded hashes of containers it is equal on all hosts.
 auto rendezvous_weight(std::uint32_t host, std::uint32_t carrier) -> std::uint64_t {
     auto mixed = (static_cast<std::uint64_t>(host) << 32U) | carrier;
--- a/src/edge/placement_func.h
+++ b/src/edge/placement_func.h
@@ -55,6 +55,13 @@
 // no other target.
 auto takes_new_flows(const directory& known, target_index index) -> bool;
 
+// Returns whether the route sends new flows to the target's service, and the target takes them. It holds for
+// each SYN when it is sent, whichever one of its flow it is.
+auto may_open_at(const directory& known, const route_entry& route, target_index index) -> bool;
+
+// Returns whether the route sends new flows to the service.
+auto is_backend(const route_entry& route, const std::string& service) -> bool;
+
 // Returns a target's requests in progress and pending SYNs per slot, as known to this host.
 auto busy_per_slot(const target_record& target) -> double;
 
