--- a/src/edge/edge_host.cpp
+++ b/src/edge/edge_host.cpp
@@ -115,7 +115,9 @@
           sync_server_(loop_, [this](std::string_view target) { return answer_sync(target); }),
           metrics_server_(loop_, [this](std::string_view target) { return answer_metrics(target); }),
           timing_(make_watch_timing(settings_.change_bound_ms)),
-          follower_(loop_, state_.known, {settings_.store_address, timing_.wait_ms, platform_.era_header},
+          follower_(loop_, state_.known,
+                    {settings_.store_address, timing_.wait_ms, platform_.era_header,
+                     settings_.registration_interval_ms},
                     make_follower_events(), state_.random),
           sync_client_(loop_) {
         state_.known.platform = &platform_;
--- a/src/edge/edge_platform_base.h
+++ b/src/edge/edge_platform_base.h
@@ -35,6 +35,8 @@
     std::int64_t stop_limit_ms = 0;  // time from the stop signal until the platform kills the process
     // A change must be in use this long after the store acknowledged it.
     std::int64_t change_bound_ms = default_change_bound_ms;
+    // Interval of the targets' registrations, which lapse after several without one; 0: unknown.
+    std::int64_t registration_interval_ms = 0;
     // Bounds for cold targets; nothing: they are not limited.
     std::optional<cold_bounds> cold;
 
@@ -47,8 +49,9 @@
                a.peer_address == b.peer_address && a.sync_address == b.sync_address &&
                a.metrics_address == b.metrics_address && a.seeds == b.seeds &&
                a.max_flow_ms == b.max_flow_ms && a.stop_limit_ms == b.stop_limit_ms &&
-               a.change_bound_ms == b.change_bound_ms && a.cold == b.cold && a.zones == b.zones &&
-               a.is_zone_overflow_allowed == b.is_zone_overflow_allowed;
+               a.change_bound_ms == b.change_bound_ms &&
+               a.registration_interval_ms == b.registration_interval_ms && a.cold == b.cold &&
+               a.zones == b.zones && a.is_zone_overflow_allowed == b.is_zone_overflow_allowed;
     }
 };
 
--- a/src/edge/store_follower.cpp
+++ b/src/edge/store_follower.cpp
@@ -76,7 +76,9 @@
     if (list_after_key_.empty()) {
         list_started_ = at;
     }
-    client_.call(settings_.store, known_.platform->list_request(list_after_key_), at + store_answer_limit_ms,
+    call_sent_ = at;
+    call_deadline_ = at + store_answer_limit_ms;
+    client_.call(settings_.store, known_.platform->list_request(list_after_key_), call_deadline_,
                  [this](result<http_answer> answer) { on_answer(std::move(answer), true); });
 }
 
@@ -84,9 +86,9 @@
     watch_start_revision_ = known_.revision;
     watch_wait_ms_ = is_unconfirmed_ ? confirming_wait_ms : settings_.watch_wait_ms;
     call_sent_ = at;
+    call_deadline_ = at + watch_wait_ms_ + store_answer_limit_ms;
     client_.call(settings_.store, known_.platform->watch_request(known_.revision, watch_wait_ms_),
-                 at + watch_wait_ms_ + store_answer_limit_ms,
-                 [this](result<http_answer> answer) { on_answer(std::move(answer), false); });
+                 call_deadline_, [this](result<http_answer> answer) { on_answer(std::move(answer), false); });
 }
 
 auto store_follower::on_answer(result<http_answer> answer, bool is_listing) -> void {
@@ -97,7 +99,8 @@
         return;
     }
     if (!answer) {
-        on_failure(answer.error(), at);
+        // A connection that ends shows that its other end was there until now. Silence shows nothing.
+        on_failure(answer.error(), at < call_deadline_ ? at : call_sent_, at);
         return;
     }
     if (!is_usable(*answer, is_listing, at)) {
@@ -110,12 +113,12 @@
     if (answer->status != status_ok) {
         on_failure({error_kind::store_unavailable, absl::StrCat("the store answered ", answer->status),
                     "check the load and the limits of the store; the call is retried"},
-                   at);
+                   at, at);
         return;
     }
     const auto page = known_.platform->read_page(answer->body);
     if (!page) {
-        on_failure(page.error(), at);
+        on_failure(page.error(), at, at);
         return;
     }
     record_success(at);
@@ -146,7 +149,7 @@
                                  absl::StrCat("the store answered in era ", era, ", known is ", store_era_),
                                  "check the store, and who sends in the name of other hosts"};
         events_.on_era_invalid(fault);
-        on_failure(fault, at);
+        on_failure(fault, at, at);
         return false;
     }
     if (begins_listing) {
@@ -247,7 +250,10 @@
         return;
     }
     is_lost_ = false;
-    known_.lapse_grace_until = at + lapse_grace_ms;
+    // A watch that is cut is no outage. If it counted as one, cuts in a row would extend the grace for ever.
+    if (at - lost_since_ >= settings_.lapse_outage_ms) {
+        known_.lapse_grace_until = at + lapse_grace_ms;
+    }
     events_.on_store_regained(at - lost_since_);
 }
 
@@ -266,11 +272,11 @@
     return half == 0 ? 0 : half + static_cast<std::int64_t>(random_() % half);
 }
 
-auto store_follower::on_failure(const error& fault, time_ms at) -> void {
+auto store_follower::on_failure(const error& fault, time_ms since, time_ms at) -> void {
     is_unconfirmed_ = true;
     if (!is_lost_) {
         is_lost_ = true;
-        lost_since_ = at;
+        lost_since_ = since;
         events_.on_store_lost(fault);
     }
     next_call_ = at + random_part(pause_ms_);
--- a/src/edge/store_follower_base.h
+++ b/src/edge/store_follower_base.h
@@ -43,9 +43,12 @@
     endpoint store;
     std::int64_t watch_wait_ms = 0;
     std::string_view era_header{};  // name of the header that tells the store's era
+    // A shorter outage of the store lets no registration of a live target lapse.
+    std::int64_t lapse_outage_ms = 0;
 
     friend auto operator==(const follower_settings& a, const follower_settings& b) -> bool {
-        return a.store == b.store && a.watch_wait_ms == b.watch_wait_ms && a.era_header == b.era_header;
+        return a.store == b.store && a.watch_wait_ms == b.watch_wait_ms && a.era_header == b.era_header &&
+               a.lapse_outage_ms == b.lapse_outage_ms;
     }
 };
 
@@ -100,7 +103,8 @@
     auto on_answer(result<http_answer> answer, bool is_listing) -> void;
     auto random_part(std::int64_t pause_ms) -> std::int64_t;
     auto list_again(std::string_view reason, time_ms at) -> void;
-    auto on_failure(const error& fault, time_ms at) -> void;
+    // `since`: when the store may have become unavailable.
+    auto on_failure(const error& fault, time_ms since, time_ms at) -> void;
     auto record_success(time_ms at) -> void;
     auto record_complete(time_ms since) -> void;
     auto apply(const store_page& page, time_ms at) -> void;
@@ -116,6 +120,7 @@
     bool is_unconfirmed_ = true;          // no answer since the start, the takeover or the last failed call
     std::optional<time_ms> complete_at_;  // the directory had all changes of the store then
     time_ms call_sent_;                   // start of the call in progress
+    time_ms call_deadline_;
     time_ms lost_since_;
     time_ms next_call_;
     std::int64_t pause_ms_ = retry_pause_ms;
--- a/tests/edge_follower_test.cpp
+++ b/tests/edge_follower_test.cpp
@@ -84,10 +84,14 @@
     int eras = 0;
     int invalid_eras = 0;
     std::vector<std::string> gone;
-    store_follower follower{
-        loop, known, {address, test_watch_wait_ms, test_platform().era_header}, make_events(), random};
+    store_follower follower;
 
-    follower_fixture() { known.platform = &test_platform(); }
+    // `lapse_outage_ms`: shorter outages let no registration lapse.
+    explicit follower_fixture(std::int64_t lapse_outage_ms = 0)
+        : follower(loop, known, {address, test_watch_wait_ms, test_platform().era_header, lapse_outage_ms},
+                   make_events(), random) {
+        known.platform = &test_platform();
+    }
 
     auto make_events() -> follower_events {
         auto events = follower_events{};
@@ -129,6 +133,8 @@
     CPPUNIT_TEST(watch_answer_that_is_too_large_leads_to_a_new_listing);
     CPPUNIT_TEST(removals_after_an_outage_count_as_lapses);
     CPPUNIT_TEST(removals_without_an_outage_are_final);
+    CPPUNIT_TEST(removals_after_short_losses_are_final);
+    CPPUNIT_TEST(silence_counts_as_an_outage_from_its_beginning);
     CPPUNIT_TEST(silent_connection_is_replaced);
     CPPUNIT_TEST(drain_after_a_return_to_a_copy_is_seen);
     CPPUNIT_TEST(changes_under_reused_revisions_are_seen);
@@ -268,6 +274,38 @@
         CPPUNIT_ASSERT(test.known.targets[0].state == presence::lapsed);
     }
 
+    // review/12: cuts of waiting watches in a row kept removed targets in use for good.
+    auto removals_after_short_losses_are_final() -> void {
+        auto test = follower_fixture{5000};
+        CPPUNIT_ASSERT(test.server.listen(test.address).has_value());
+        test.store.listings = {page_answer("items", {target_item({"i-1"}, 4)}, 4)};
+        test.store.watches = {{503, ""},
+                              page_answer("events", {}, 4),
+                              {503, ""},
+                              page_answer("events", {removal_item("i-1", 5)}, 5)};
+        test.run_until([&] { return test.known.revision == 5; });
+        CPPUNIT_ASSERT_EQUAL(2, test.regained);
+        CPPUNIT_ASSERT(test.known.targets[0].state == presence::gone);
+    }
+
+    // The store accepts a watch and says nothing until it is back. It may have been away all that time, so
+    // that the pause before the next call is a small part of the outage.
+    auto silence_counts_as_an_outage_from_its_beginning() -> void {
+        auto test = follower_fixture{store_answer_limit_ms};
+        test.known.is_complete = true;
+        apply_item(test.known, target_item({"i-1"}, 4), test_start);
+        test.known.revision = 4;
+        {
+            const auto silent = open_listener(test.address);
+            CPPUNIT_ASSERT(silent.has_value());
+            test.run_until([&] { return test.lost == 1; });
+        }
+        CPPUNIT_ASSERT(test.server.listen(test.address).has_value());
+        test.store.watches = {page_answer("events", {removal_item("i-1", 5)}, 5)};
+        test.run_until([&] { return test.known.revision == 5; });
+        CPPUNIT_ASSERT(test.known.targets[0].state == presence::lapsed);
+    }
+
     auto removals_without_an_outage_are_final() -> void {
         auto test = follower_fixture{};
         CPPUNIT_ASSERT(test.server.listen(test.address).has_value());
--- a/tests/edge_platform_test.cpp
+++ b/tests/edge_platform_test.cpp
@@ -174,6 +174,11 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{2500},
                              bound_with("bounds.drain-ms=5000\nbounds.evacuation-ms=2500\n"));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{3600000}, bound_with("bounds.drain-ms=1e300\n"));
+        // Without the interval of registrations, any outage of the store may let them lapse.
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, read->registration_interval_ms);
+        const auto with_interval = test_platform().read_settings(example_settings + "heartbeat-ms=770\n");
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{770}, with_interval->registration_interval_ms);
+        CPPUNIT_ASSERT(!test_platform().read_settings(example_settings + "heartbeat-ms=often\n"));
     }
 
     auto error_names_the_missing_setting() -> void {
