--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -71,7 +71,7 @@
     const auto index = found->second;
     auto& record = known.targets[index];
     const auto is_new_instance = record.entry.started_ms != entry.started_ms;
-    if (record.state == presence::gone || record.entry.service != entry.service) {
+    if (!is_registered(record) || record.entry.service != entry.service) {
         remove_from_service(known, record.entry.service, index);
         known.by_service[entry.service].push_back(index);
     }
@@ -106,6 +106,12 @@
         return directory_change::none;
     }
     auto& record = known.targets[found->second];
+    if (record.state == presence::unreadable) {
+        // The entry that was removed is of another writer, so a draining target may not have left.
+        set_gone(known, found->second, at);
+        record.has_left = false;
+        return directory_change::target_gone;
+    }
     const auto may_lapse = record.entry.state == target_state::ready || at < known.era_grace_until;
     if (at < known.lapse_grace_until && may_lapse) {
         record.state = presence::lapsed;
@@ -190,13 +196,35 @@
     return directory_change::routes_changed;
 }
 
-// Handles a registration that became unreadable: its target gets no new flows. Unlike a removal this does not
-// say that a draining target has ended its flows.
-auto apply_unreadable(directory& known, const std::string& target, time_ms at) -> void {
-    apply_removal(known, target, at);
-    if (const auto found = known.by_name.find(target); found != known.by_name.end()) {
-        known.targets[found->second].has_left = false;
+// Handles an unreadable registration: its target gets no new flows, and its open flows go on, since the
+// target may be alive and write again. A target that is not known yet gets a record without an address, so
+// that packets with its carriers are neither reset nor sent to another target. Returns its name, if the key
+// has one.
+auto apply_unreadable(directory& known, const std::string& key, time_ms at) -> std::string {
+    auto entry = known.platform->read_target_key(key);
+    if (!entry) {
+        return {};
     }
+    auto name = entry->name;
+    const auto found = known.by_name.find(name);
+    if (found == known.by_name.end()) {
+        const auto index = allocate_record(known);
+        auto& record = known.targets[index];
+        record.entry = std::move(*entry);
+        record.state = presence::unreadable;
+        record.changed_at = at;
+        record.is_in_use = true;
+        known.by_name.emplace(name, index);
+        claim_carriers(known, index);
+        return name;
+    }
+    auto& record = known.targets[found->second];
+    if (is_registered(record)) {
+        record.state = presence::unreadable;
+        record.changed_at = at;
+        remove_from_service(known, record.entry.service, found->second);
+    }
+    return name;
 }
 
 // Drops the older half of the removals if there are more than `max_removals_kept`.
@@ -220,6 +248,10 @@
 
 }  // namespace
 
+auto is_registered(const target_record& target) -> bool {
+    return target.is_in_use && (target.state == presence::registered || target.state == presence::lapsed);
+}
+
 auto position_of(const directory& known) -> store_position {
     return {known.era, known.is_complete && !known.may_lack_changes ? known.revision : 0};
 }
@@ -253,7 +285,7 @@
     }
     if (!meaning) {
         stored.is_unreadable = true;
-        apply_unreadable(known, previous.target, at);
+        stored.target = apply_unreadable(known, item.key, at);
         return {directory_change::unreadable,
                 previous.is_unreadable ? std::nullopt : std::optional<error>(meaning.error())};
     }
--- a/src/edge/directory_base.h
+++ b/src/edge/directory_base.h
@@ -37,6 +37,7 @@
 enum class presence {
     registered,  // its registration is in the store
     lapsed,      // its registration was missing after an outage of the store and may return
+    unreadable,  // another writer replaced its registration, which says nothing of the target
     gone,        // it left or died; kept to recognize packets of its open flows
 };
 
@@ -192,6 +193,9 @@
     return (static_cast<std::uint64_t>(address) << 16U) | port;
 }
 
+// Returns whether the record is of a target whose registration is in the store, or may return to it.
+auto is_registered(const target_record& target) -> bool;
+
 // Returns the position up to which all changes are known; revision 0 without a complete listing, or if
 // changes may be missing. Other hosts read no changes from such a host.
 auto position_of(const directory& known) -> store_position;
@@ -201,8 +205,8 @@
 // Applies an item in place of the known one, whichever is newer.
 auto replace_item(directory& known, decoded_item&& decoded, time_ms at) -> item_outcome;
 
-// Applies an item if it is newer than the known one. An unreadable registration removes the target that its
-// key registered before, and no other; an unreadable configuration leaves the previous one in use.
+// Applies an item if it is newer than the known one. A target whose registration became unreadable gets no
+// new flows, and its open ones go on; an unreadable configuration leaves the previous one in use.
 auto apply_item(directory& known, const store_item& item, time_ms at) -> item_outcome;
 
 // Removes the items that a complete listing lacks, except those newer than its first page. Returns their
--- a/src/edge/edge_log.cpp
+++ b/src/edge/edge_log.cpp
@@ -54,6 +54,8 @@
             return counter::edge_foreign_carrier;
         case packet_reason::shared_carrier:
             return counter::edge_shared_carrier;
+        case packet_reason::unreadable_target:
+            return counter::edge_unreadable_target;
         case packet_reason::target_left:
             return counter::edge_target_left;
         case packet_reason::target_dead:
--- a/src/edge/edge_platform_base.h
+++ b/src/edge/edge_platform_base.h
@@ -90,6 +90,9 @@
     auto(*read_page)(std::string_view body) -> result<store_page>;
     // Decodes an item. The error names the field.
     auto(*read_item)(std::string_view key, std::string_view value) -> result<item_meaning>;
+    // Returns name, tag and carrier of the target that a key registers, whatever its value; empty if the key
+    // is none of a registration.
+    auto(*read_target_key)(std::string_view key) -> std::optional<target_entry>;
     // Returns whether an HTTP request target is the routers' readiness check.
     auto(*is_ready_check)(std::string_view target) -> bool;
 };
--- a/src/edge/evacuation.cpp
+++ b/src/edge/evacuation.cpp
@@ -13,7 +13,7 @@
     const auto members = known.by_service.find(service);
     return members != known.by_service.end() && absl::c_any_of(members->second, [&](target_index index) {
                const auto& target = known.targets[index];
-               return target.state != presence::gone && target.entry.state == target_state::ready &&
+               return is_registered(target) && target.entry.state == target_state::ready &&
                       is_evacuated(known, target);
            });
 }
--- a/src/edge/forwarding.cpp
+++ b/src/edge/forwarding.cpp
@@ -177,8 +177,8 @@
     }
     const auto may_have_it = [&](target_index index) {
         const auto& service = state.known.targets[index].entry.service;
-        return relation_to_route(route, service, state.former_services_until, at) !=
-               service_relation::foreign;
+        return service.empty() || relation_to_route(route, service, state.former_services_until, at) !=
+                                      service_relation::foreign;
     };
     return absl::c_count_if(sharers, may_have_it) == 1 ? std::optional(*absl::c_find_if(sharers, may_have_it))
                                                        : std::nullopt;
@@ -203,6 +203,9 @@
     }
     const auto index = *holder;
     auto& target = state.known.targets[index];
+    if (target.entry.service.empty()) {
+        return drop(packet_reason::unreadable_target);
+    }
     const auto relation = relation_to_route(*route, target.entry.service, state.former_services_until, at);
     if (relation == service_relation::foreign) {
         end_former_flow(state, packet.flow, at);
@@ -365,6 +368,8 @@
             return "foreign_carrier";
         case packet_reason::shared_carrier:
             return "shared_carrier";
+        case packet_reason::unreadable_target:
+            return "unreadable_target";
         case packet_reason::target_left:
             return "target_left";
         case packet_reason::target_dead:
--- a/src/edge/forwarding_base.h
+++ b/src/edge/forwarding_base.h
@@ -70,6 +70,7 @@
     unknown_carrier_reset,  // the same for a retransmission and with a current view: the target is gone
     foreign_carrier,        // the carrier names a target of another service
     shared_carrier,         // several targets have the carrier, and any of them may have the flow
+    unreadable_target,      // the target's registration has been unreadable since this host started
     target_left,            // the flow's target has left
     target_dead,            // the flow's target is presumed dead
     no_carrier,             // not a SYN, and without a carrier
--- a/src/edge/placement.cpp
+++ b/src/edge/placement.cpp
@@ -54,8 +54,7 @@
 
 auto takes_new_flows(const directory& known, target_index index) -> bool {
     const auto& target = known.targets[index];
-    if (target.state == presence::gone || target.entry.state != target_state::ready ||
-        is_evacuated(known, target)) {
+    if (!is_registered(target) || target.entry.state != target_state::ready || is_evacuated(known, target)) {
         return false;
     }
     return target.opening_carrier != 0;
--- a/src/edge/suspicion.cpp
+++ b/src/edge/suspicion.cpp
@@ -173,7 +173,7 @@
     auto zones = absl::flat_hash_set<std::string_view>{};
     auto silent_zones = absl::flat_hash_set<std::string_view>{};
     for (const auto& target : known.targets) {
-        if (!target.is_in_use || target.state == presence::gone) {
+        if (!is_registered(target)) {
             continue;
         }
         ++targets;
--- a/src/edge/zone_load.cpp
+++ b/src/edge/zone_load.cpp
@@ -225,7 +225,7 @@
 auto needs_zone_loads(const directory& known) -> bool {
     const std::string* first = nullptr;
     for (const auto& target : known.targets) {
-        if (!target.is_in_use || target.state == presence::gone) {
+        if (!is_registered(target)) {
             continue;
         }
         if (first != nullptr && *first != target.entry.zone) {
--- a/src/table/counters.h
+++ b/src/table/counters.h
@@ -89,6 +89,7 @@
 COUNTER(edge_unknown_carrier, "one-way path: dropped, the carrier names no known target")
 COUNTER(edge_unknown_carrier_reset, "one-way path: reset, the carrier names no target in a current view")
 COUNTER(edge_foreign_carrier, "one-way path: dropped, the carrier names a target of another service")
+COUNTER(edge_unreadable_target, "one-way path: dropped, the target's registration has been unreadable since the host started")
 COUNTER(edge_shared_carrier, "one-way path: dropped, several targets have the carrier and any of them may have the flow")
 COUNTER(edge_target_left, "one-way path: reset, the target of the flow has left")
 COUNTER(edge_target_dead, "one-way path: reset, no flow of the target makes progress")
