Add: [soak] Entries of other writers, ids that end alike, and cut watches

They disturb no host, so all checks go on. Clients know their target by its address in place of the carrier, and a reset by a target at which the flow is not open counts as FLOW.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -59,6 +59,8 @@
           random_(seed_),
           returns_random_(seed_ + 1),
           has_returns_(options["returns"].as<bool>()),
+          writers_random_(seed_ + 2),
+          has_other_writers_(options["other-writers"].as<bool>()),
           store_(loop),
           world_(loop, store_, net, seed_) {
         folder_ = std::filesystem::temp_directory_path() / absl::StrCat("soak-", getpid());
@@ -75,6 +77,7 @@
     auto inject_fault() -> void;
     auto apply_change() -> void;
     auto return_store(time_ms at) -> void;
+    auto cause_oddity(time_ms at) -> void;
     auto inject_host_fault(soak_host& host) -> void;
     auto update_host(soak_host& host, time_ms at) -> void;
     auto report(std::int64_t length_ms) -> int;
@@ -94,6 +97,9 @@
     std::mt19937_64 random_;
     std::mt19937_64 returns_random_;  // of its own, so that runs without returns keep their faults
     bool has_returns_ = false;
+    std::mt19937_64 writers_random_;  // of its own, as above
+    bool has_other_writers_ = false;
+    time_ms next_oddity_;
     time_ms next_copy_;
     time_ms next_return_;
     int returns_ = 0;
@@ -288,6 +294,32 @@
     }
 }
 
+// Causes what the platform allows beside faults: entries of other writers, ids that end alike, cut watches.
+// This disturbs no host: all checks go on.
+auto soak_run::cause_oddity(time_ms at) -> void {
+    if (at < next_oddity_) {
+        return;
+    }
+    next_oddity_ = at + random_between(50, 1500, writers_random_);
+    switch (writers_random_() % 6) {
+        case 0:
+            world_.add_target_with_similar_id();
+            break;
+        case 1:
+            world_.copy_registration();
+            break;
+        case 2:
+            world_.remove_copies();
+            break;
+        case 3:
+            world_.overwrite_registration();
+            break;
+        default:
+            store_.cut_watches();
+            break;
+    }
+}
+
 auto soak_run::run(std::int64_t length_ms) -> int {
     const auto opened = open();
     if (!opened) {
@@ -326,6 +358,9 @@
         if (has_returns_ && at - begin < length_ms - recovery_ms) {
             return_store(at);
         }
+        if (has_other_writers_ && at - begin < length_ms - recovery_ms) {
+            cause_oddity(at);
+        }
         store_.on_timer(at);
         world_.on_timer(at);
         loop_.wait(boot_now() + 2);
@@ -385,6 +420,7 @@
     add("hosts", "host processes, in two zones", cxxopts::value<std::size_t>()->default_value("4"));
     add("binary", "the agatepost binary", cxxopts::value<std::string>()->default_value("build/agatepost"));
     add("returns", "the store comes back from older copies");
+    add("other-writers", "entries of other writers, ids that end alike, and cut watches");
     add("json", "accepted for scripts; the last line is JSON in any case");
     add("help", "prints this text");
     try {
--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -78,6 +78,17 @@
     ++era_;
 }
 
+auto platform_store::cut_watches() -> void {
+    for (auto i = connections_.begin(); i != connections_.end();) {
+        if (!i->second.is_watching) {
+            ++i;
+            continue;
+        }
+        loop_.remove(i->first);
+        i = connections_.erase(i);
+    }
+}
+
 auto platform_store::on_ready(int fd) -> void {
     auto& from = connections_.at(fd);
     auto bytes = std::array<char, 4096>{};
--- a/soak/store_base.h
+++ b/soak/store_base.h
@@ -33,6 +33,8 @@
     auto write(const std::string& key, const std::string& value) -> void;
     auto remove(const std::string& key) -> void;
 
+    // Closes the connections of all waiting watches.
+    auto cut_watches() -> void;
     auto has(const std::string& key) const -> bool { return items_.count(key) != 0; }
 
     // Tells the era in all answers from now on.
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -168,10 +168,11 @@
     }
 }
 
-auto world::add_target(const std::string& service) -> void {
+auto world::add_target(const std::string& service, std::uint64_t similar_to) -> void {
     auto one = std::make_unique<target>();
     const auto index = targets_.size();
-    one->tag = static_cast<std::uint32_t>(random_()) | 1U;
+    one->tag = similar_to == 0 ? static_cast<std::uint32_t>(random_()) | 1U
+                               : similar_to + ((random_() % 255 + 1) << 32U);
     one->id = absl::StrCat("i-", absl::Hex(one->tag, absl::kZeroPad8));
     one->service = service;
     one->zone = index % 2 == 0 ? "a" : "b";
@@ -287,6 +288,49 @@
     }
 }
 
+auto world::add_target_with_similar_id() -> void {
+    const auto index = pick_target();
+    if (index != targets_.size()) {
+        add_target("desk", targets_[index]->tag);
+    }
+}
+
+auto world::copy_registration() -> void {
+    const auto index = pick_target();
+    if (index == targets_.size()) {
+        return;
+    }
+    const auto& one = *targets_[index];
+    copies_.push_back(absl::StrCat("servers/copy-of-", one.id));
+    store_.write(copies_.back(),
+                 nlohmann::json{{"service", "retired"},
+                                {"address", absl::StrCat(address_text(one.address), ":", target_port)},
+                                {"zone", one.zone},
+                                {"version", "v1"},
+                                {"call-seq", 1},
+                                {"slots", 4},
+                                {"state", "ready"},
+                                {"cold-remaining-ms", 0},
+                                {"born", one.started.value}}
+                     .dump());
+}
+
+auto world::remove_copies() -> void {
+    for (const auto& key : copies_) {
+        store_.remove(key);
+    }
+    copies_.clear();
+}
+
+auto world::overwrite_registration() -> void {
+    const auto index = pick_target();
+    if (index != targets_.size()) {
+        auto& one = *targets_[index];
+        store_.write("servers/" + one.id, "\xff");
+        one.rewrite_at = boot_now() + static_cast<std::int64_t>(random_() % heartbeat_ms);
+    }
+}
+
 auto world::drain_target() -> void {
     const auto index = pick_target();
     if (index == targets_.size()) {
@@ -502,7 +546,7 @@
         if (!is_checksum_valid && !is_host_reset) {
             add_violation("MIXED: a client received a packet that differs from what its sender wrote");
         }
-        on_client_packet(client, packet, is_checksum_valid ? 0 : sender);
+        on_client_packet(client, packet, is_checksum_valid, sender);
     }
 }
 
@@ -512,7 +556,7 @@
         return;
     }
     for (const auto& one : targets_) {
-        const auto is_available = one->tag == flow.echo && one->is_alive && !one->is_draining;
+        const auto is_available = one->address == flow.target_address && one->is_alive && !one->is_draining;
         const auto is_violation = is_available && at - one->changed >= recovery_limit_ms && is_calm(at, host);
         if (is_violation) {
             add_violation(absl::StrCat("FLOW: port ", flow.port, " of client ", flow.client,
@@ -521,8 +565,16 @@
     }
 }
 
-auto world::on_client_packet(std::size_t client, const wire_packet& packet, std::uint32_t host) -> void {
-    const auto is_checksum_valid = host == 0;
+// A reset of a target at which the flow is not open: a host sent a packet of the flow there.
+auto world::check_reset_of_other_target(const client_flow& flow, time_ms at) -> void {
+    const auto* host = select_host(flow);
+    if (host != nullptr) {
+        check_reset(flow, host->address, at);
+    }
+}
+
+auto world::on_client_packet(std::size_t client, const wire_packet& packet, bool is_checksum_valid,
+                             std::uint32_t sender) -> void {
     const auto found = flows_.find({client, packet.dport});
     if (found == flows_.end() || found->second.service_port != packet.sport) {
         return;  // the flow has ended
@@ -530,13 +582,14 @@
     auto& flow = found->second;
     const auto at = boot_now();
     if ((packet.flags & rst) != 0) {
-        const auto is_of_flow = !is_checksum_valid || !flow.is_open || packet.echo == flow.echo;
+        const auto is_of_flow = !is_checksum_valid || !flow.is_open || sender == flow.target_address;
         if (!is_of_flow) {
+            check_reset_of_other_target(flow, at);
             return;
         }
         if (!is_checksum_valid) {
-            check_reset(flow, host, at);
-            if (!flow.is_open && flow.service_port != extra_port && is_calm(at, host) &&
+            check_reset(flow, sender, at);
+            if (!flow.is_open && flow.service_port != extra_port && is_calm(at, sender) &&
                 at - routes_changed_ > config_limit_ms) {
                 add_violation(absl::StrCat("CONFIG: a SYN to port ", flow.service_port, " was refused"));
             }
@@ -554,12 +607,16 @@
         }
         flow.is_open = true;
         flow.echo = packet.echo;
+        flow.target_address = sender;
         flow.seq += 1;
         flow.ack = packet.seq + 1;
         send_from_client(flow, ack_flag, {}, flow.seq);
         flow.next_send = at;
         return;
     }
+    if (sender != flow.target_address) {
+        return;
+    }
     flow.echo = packet.echo;
     if (packet.data.empty() || packet.seq != flow.ack) {
         return;
--- a/soak/world_base.h
+++ b/soak/world_base.h
@@ -54,7 +54,7 @@
 // A simulated target process.
 struct target {
     std::string id;
-    std::uint32_t tag = 0;
+    std::uint64_t tag = 0;
     std::string service;
     std::string zone;
     std::uint32_t address = 0;
@@ -93,6 +93,7 @@
     std::uint32_t seq = 0;
     std::uint32_t ack = 0;
     std::uint32_t echo = 0;
+    std::uint32_t target_address = 0;  // of the target at which it opened
     bool is_open = false;
     std::string request;  // id of the request in progress, or empty
     int syn_retransmissions = 0;
@@ -132,9 +133,16 @@
     auto add_host(std::uint32_t address) -> void;
     auto record_disturbance(std::uint32_t host_address) -> void;  // 0: all hosts, for faults of the store too
 
-    auto add_target(const std::string& service) -> void;
+    // `similar_to`: the tag of a target whose id ends in the same eight digits; 0: none.
+    auto add_target(const std::string& service, std::uint64_t similar_to = 0) -> void;
     auto crash_target() -> void;
     auto restart_target() -> void;  // keeps its id
+    auto add_target_with_similar_id() -> void;
+    // Another writer registers a copy of a target under a key of its own, or removes its copies.
+    auto copy_registration() -> void;
+    auto remove_copies() -> void;
+    // Another writer overwrites the registration of a target, until its next report.
+    auto overwrite_registration() -> void;
     auto drain_target() -> void;
     auto change_routes(bool with_extra) -> void;
 
@@ -156,8 +164,8 @@
         -> void;
     auto update_flow(client_flow& flow, time_ms at) -> bool;
     auto read_client(std::size_t client) -> void;
-    auto on_client_packet(std::size_t client, const wire_packet& packet, std::uint32_t host)
-        -> void;  // host: the host that wrote the reset, or 0
+    auto on_client_packet(std::size_t client, const wire_packet& packet, bool is_checksum_valid,
+                          std::uint32_t sender) -> void;  // host: the host that wrote the reset, or 0
     auto read_target(std::size_t index) -> void;
     auto on_target_packet(std::size_t index, const wire_packet& packet, std::uint32_t host) -> void;
     auto process_request(std::size_t index, const wire_packet& packet) -> void;
@@ -168,6 +176,7 @@
     auto write_due_items(time_ms at) -> void;
     auto pick_target() -> std::size_t;
     auto check_reset(const client_flow& flow, std::uint32_t host, time_ms at) -> void;
+    auto check_reset_of_other_target(const client_flow& flow, time_ms at) -> void;
     auto check_syn(const target& at_target, const wire_packet& packet, std::uint32_t host, time_ms at)
         -> void;
     auto is_calm(time_ms at, std::uint32_t host_address) const -> bool;
@@ -178,6 +187,7 @@
     platform_store& store_;
     std::uint8_t net_;
     std::mt19937_64 random_;
+    std::vector<std::string> copies_;  // keys of another writer
     std::vector<router_host> hosts_;
     std::vector<std::unique_ptr<target>> targets_;
     std::vector<file_descriptor> clients_;
