Fix: [edge] A whole copy is not taken after the position asked with was lowered

A whole copy leaves out the values that the asking host has by its position. If that position turned out to be invalid while the answer was on its way, items without a value would have counted as unreadable. The check of increments now holds for whole copies too.

--- a/src/edge/peer_changes.cpp
+++ b/src/edge/peer_changes.cpp
@@ -23,13 +23,13 @@
     return result;
 }
 
-// Returns whether the changes lead from what this host knows to their position.
+// Returns whether the changes lead from what this host knows to their position. Both increments and whole
+// copies leave out what a host at the position `asked` has.
 auto is_usable(const directory& known, const peer_changes& changes, store_position asked) -> bool {
     const auto own = position_of(known);
-    if (changes.revision == 0 || position_of(changes) < own) {
-        return false;
-    }
-    return changes.is_whole || (own.revision != 0 && asked.era == own.era && asked.revision <= own.revision);
+    const auto has_position = changes.revision != 0 && !(position_of(changes) < own);
+    const auto covers_asked = asked.revision == 0 || (asked.era == own.era && asked.revision <= own.revision);
+    return has_position && covers_asked && (changes.is_whole || own.revision != 0);
 }
 
 }  // namespace
--- a/src/edge/peer_changes_func.h
+++ b/src/edge/peer_changes_func.h
@@ -31,9 +31,8 @@
     bool is_restarted = false;  // the directory has another era: listings and watches begin anew
 };
 
-// Applies the changes that another host sent after the position `asked`. Increments are usable only while
-// this host still has all changes up to that position, and a whole copy only if it is not older than the
-// directory.
+// Applies the changes that another host sent after the position `asked`. They are usable only while this host
+// still has all changes up to that position, and if they are not older than the directory.
 auto apply_changes(directory& known, const peer_changes& changes, store_position asked, time_ms at)
     -> applied_changes;
 
--- a/tests/edge_peer_changes_test.cpp
+++ b/tests/edge_peer_changes_test.cpp
@@ -161,6 +161,7 @@
     CPPUNIT_TEST(removal_before_a_whole_copy_reaches_a_host_behind);
     CPPUNIT_TEST(whole_copy_repeats_no_known_value);
     CPPUNIT_TEST(increments_after_a_position_that_was_invalid_are_unusable);
+    CPPUNIT_TEST(whole_copy_after_a_position_that_was_invalid_is_unusable);
     CPPUNIT_TEST(host_that_may_lack_changes_passes_none_on);
     CPPUNIT_TEST(increments_make_no_directory_complete);
     CPPUNIT_TEST(older_whole_copy_is_unusable);
@@ -240,6 +241,21 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state.known.revision);
     }
 
+    // The copy leaves out values that a host at the position 90 has.
+    auto whole_copy_after_a_position_that_was_invalid_is_unusable() -> void {
+        auto state = test_state({{"i-1"}});
+        state.known.revision = 90;
+        auto ahead = test_state({{"i-1"}});
+        ahead.known.items.at("servers/i-1").revision = 60;
+        finish_listing(ahead.known, {{"op/config", true}, {"servers/i-1", true}}, 95, test_start);
+        const auto changes = decode_changes(encode_changes(ahead.known, {0, 90})).value();
+        CPPUNIT_ASSERT(changes.is_whole);
+        discard_invalid_revisions(state.known, 1);
+        CPPUNIT_ASSERT(apply_changes(state.known, changes, {0, 90}, test_start).outcome ==
+                       changes_outcome::unusable);
+        CPPUNIT_ASSERT(is_usable(state.known, "i-1"));
+    }
+
     // Its watch began after an invalid revision, so it may lack changes before the store's newest one.
     auto host_that_may_lack_changes_passes_none_on() -> void {
         auto state = test_state({{"i-1"}});
