--- a/soak/world_base.h
+++ b/soak/world_base.h
@@ -165,7 +165,7 @@
     auto update_flow(client_flow& flow, time_ms at) -> bool;
     auto read_client(std::size_t client) -> void;
     auto on_client_packet(std::size_t client, const wire_packet& packet, bool is_checksum_valid,
-                          std::uint32_t sender) -> void;  // host: the host that wrote the reset, or 0
+                          std::uint32_t sender) -> void;  // sender: a target, or the host of a reset
     auto read_target(std::size_t index) -> void;
     auto on_target_packet(std::size_t index, const wire_packet& packet, std::uint32_t host) -> void;
     auto process_request(std::size_t index, const wire_packet& packet) -> void;
